--- /dev/null
+++ b/cranecleat/__init__.py
@@ -0,0 +1,1 @@
+"""cranecleat: a central planner for a layer of plain proxies."""
--- /dev/null
+++ b/cranecleat/policy.py
@@ -0,0 +1,521 @@
+"""All decisions of cranecleat: adaptive multi-path waterfilling over routes and backends.
+
+Called as `planner = Planner(bootstrap, seed)`, one an instance, then `planner.round(now, arrivals, out)`
+once a batch: `arrivals` are calls in order, each a verb (a method under "What comes in") and its values;
+decisions go straight into `out`. `Bootstrap` and `Writer` stand in cranecleat/interface.py.
+Times are whole microseconds, ids small indices. Why it decides so: docs/design.md.
+"""
+
+import zlib
+from heapq import heappop, heappush
+
+TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
+TARGET = 0.65  # assumed load where none is reported
+GROWTH = 1.1  # of a capacity, for each recompute with clean answers
+FLOOR = 0.1  # least multiplier, in even shares
+CHANGED = 0.1  # a line goes out when it has moved by more than this part
+ITERATIONS = 10  # of the multiplier loop
+SLACK = 1.02  # backends are filled to a common level this much above the least that holds the demand
+SLOW = 0.5  # answers are slow past this part of the SLO time
+FAILING = 0.2  # and a backend fails past this part of its tries
+DRAIN = 0.85  # of the served rate: what a slow backend is given, so that its queue shortens
+SILENT = 8  # tries that must be missing, or have failed in a row, before a backend counts as not answering
+MOST_SHUT = 0.5  # part of the capacity that may be shut out on symptoms
+
+
+def waterfill(demands, weights, paths, capacity):
+    """Alg. 2 of the paper: rates f[k][e] of demand k on backend e, each link visited once, in ascending
+    order of its first fair share. A demand's own size is a virtual link over all of its paths."""
+    rates = [dict.fromkeys(path, float("inf")) for path in paths]
+    links = []
+    for k, path in enumerate(paths):
+        total = weights[k] * sum(path.values())
+        if total > 0:
+            links.append((demands[k] / total, 0, k, demands[k], [(k, e) for e in path]))
+    members = {}
+    for k, path in enumerate(paths):
+        for e in path:
+            members.setdefault(e, []).append((k, e))
+    for e, crossing in members.items():
+        total = sum(weights[k] * paths[k][e] for k, _ in crossing)
+        links.append((capacity[e] / total if total > 0 else 0.0, 1, e, capacity[e], crossing))
+    for _, _, _, left, crossing in sorted(links):
+        while crossing:
+            total = sum(weights[k] * paths[k][e] for k, e in crossing)
+            fair = max(left, 0.0) / total if total > 0 else 0.0
+            elsewhere = [(k, e) for k, e in crossing if rates[k][e] < fair * weights[k] * paths[k][e]]
+            if not elsewhere:
+                for k, e in crossing:
+                    rates[k][e] = fair * weights[k] * paths[k][e]
+                break
+            left -= sum(rates[k][e] for k, e in elsewhere)
+            gone = set(elsewhere)
+            crossing = [c for c in crossing if c not in gone]
+    return rates
+
+
+class Backend:
+    __slots__ = ("state", "zone", "kind", "size", "started", "out", "capacity", "served", "heard", "fails",
+                 "tries", "dropped", "took", "seen", "shut", "back", "load", "fresh")
+
+    def __init__(self):
+        self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
+        self.out = False  # withdrawn from joined proxies
+        self.forget()
+
+    def forget(self):
+        """Nothing is known of the process that runs there now."""
+        self.capacity = None  # calls a second; None: unheard
+        self.served = {}  # zone -> (answered a second, smoothed; when heard)
+        self.tries = self.dropped = 0.0  # smoothed sums, for the part that fails
+        self.took = None  # answer time, smoothed
+        self.load = None  # what it reports: (part of its cores busy, calls a second)
+        self.heard, self.fails, self.seen = None, 0, 0.0  # last heard; failures in a row; tries met by then
+        self.shut, self.back, self.fresh = False, None, False
+
+
+class Proxy:
+    __slots__ = ("zone", "typical", "usage", "bound", "owed", "cost", "sent")
+
+    def __init__(self, zone, typical):
+        self.zone, self.typical = zone, typical
+        self.usage = {}  # route -> (calls a second, when heard)
+        self.bound = False
+        self.owed = []  # (mark, lines) of messages not yet known to have arrived
+        self.cost = 0  # lines that this round has put into its message
+        self.sent = []  # when messages were written, within the counted span
+
+
+class Planner:
+    def __init__(self, bootstrap, seed):
+        self.boot, self.seed, self.draws = bootstrap, seed, 0
+        self.backends, self.proxies = {}, {}
+        self.tables = {}  # table -> {backend: weight as sent}
+        self.levels = {}  # table -> (level, tries) as sent
+        self.theta = {}  # table -> {backend: multiplier}
+        self.share = [1.0] * len(bootstrap.routes)
+        self.allocated = [0.0] * len(bootstrap.routes)
+        self.due, self.next_turn, self.mark, self.met_tries = [], None, 0, 0.0
+        self.reported = None  # when the last line of a report came
+        self.fresh_reports = self.recompute_now = False
+        self.asking = self.asks = 0
+
+    def round(self, now, arrivals, out):
+        self.now, self.out = now, out
+        if self.next_turn is None:
+            self.next_turn = now + self.boot.cycle
+            out.wake(self.next_turn, TURN)
+            if self.boot.must_ask:
+                out.watch()
+        for verb, *values in arrivals:
+            getattr(self, verb)(*values)
+        while self.due and self.due[0][0] <= now:
+            heappop(self.due)[2]()
+        turn = now >= self.next_turn
+        if turn:
+            self.next_turn = now + self.boot.cycle
+            out.wake(self.next_turn, TURN)
+            self.judge()
+            self.learn()
+        if turn or self.recompute_now:
+            self.decide()
+            self.push(turn)
+        self.join()
+        self.post()
+        self.recompute_now = False
+
+    def later(self, delay, act):
+        """One ordered structure for all that is not periodic."""
+        self.draws += 1
+        heappush(self.due, (self.now + delay, self.draws, act))
+        self.out.wake(self.now + delay, DUE)
+
+    def chance(self):
+        self.draws += 1
+        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
+
+    # What comes in
+
+    def woke(self, mark):
+        pass
+
+    def listed(self, how, entries):
+        if how == "failed":
+            # The list service is jammed or the watch broke: ask again, later each time.
+            self.asks += 1
+            delay = min(self.boot.ask_within // 4, self.boot.cycle * 2 ** min(self.asks, 4) // 4)
+            self.later(int(delay * (0.5 + self.chance())), lambda: self.out.watch())
+            return
+        self.asks = 0
+        present = set()
+        for b, state, zone, kind, size, started in entries:
+            backend = self.backends.setdefault(b, Backend())
+            present.add(b)
+            if state == "gone":
+                backend.state = "gone"
+                continue
+            if backend.state == "gone" or started != backend.started:
+                backend.forget()
+            backend.state, backend.zone, backend.kind = state, zone, kind
+            backend.size, backend.started = max(size, 0.01), started
+        if how != "changes":
+            for b, backend in self.backends.items():
+                if b not in present:
+                    backend.state = "gone"
+        self.recompute_now = True
+
+    def joined(self, proxy, zone, typical):
+        self.proxies[proxy] = Proxy(zone, typical)
+
+    def left(self, proxy):
+        self.proxies.pop(proxy, None)
+
+    def met(self, b, zone, tries, dropped, took, covers, load):
+        backend = self.backends.get(b)
+        if backend is None or backend.state == "gone" or tries <= 0 or covers <= 0:
+            return
+        answered = max(tries - dropped, 0)
+        keep = 0.5 ** (covers / self.boot.cycle)
+        rate, at = backend.served.get(zone, (None, 0))
+        now_rate = answered * 1e6 / covers
+        backend.served[zone] = (now_rate if rate is None else keep * rate + (1 - keep) * now_rate, self.now)
+        self.met_tries += tries
+        backend.tries, backend.dropped = keep * backend.tries + tries, keep * backend.dropped + dropped
+        if answered:
+            hold = keep ** 0.5
+            backend.took = took if backend.took is None else hold * backend.took + (1 - hold) * took
+            backend.fails = 0
+            if backend.shut:
+                backend.shut, backend.back = False, self.now
+        else:
+            backend.fails += tries
+        backend.load = load or backend.load
+        backend.heard, backend.seen, backend.fresh = self.now, self.met_tries, True
+        self.reported, self.fresh_reports = self.now, True
+
+    def came(self, p, route, calls, covers):
+        proxy = self.proxies.get(p)
+        if proxy is None or covers <= 0 or not 0 <= route < len(self.boot.routes):
+            return
+        keep = 0.5 ** (covers / self.boot.cycle)
+        rate, _ = proxy.usage.get(route, (None, 0))
+        now_rate = calls * 1e6 / covers
+        proxy.usage[route] = (now_rate if rate is None else keep * rate + (1 - keep) * now_rate, self.now)
+        self.reported = self.now
+
+    def applied(self, p, number):
+        proxy = self.proxies.get(p)
+        if proxy:
+            for i, (mark, _) in enumerate(proxy.owed):
+                if mark == number:
+                    del proxy.owed[: i + 1]
+                    break
+
+    def probed(self, b, answered, took):
+        pass
+
+    def told(self, peer, text):
+        pass
+
+    def given(self, table, mine):
+        pass
+
+    def held(self, table, b, weight):
+        pass
+
+    def heat(self, table, route, calls, covers):
+        pass
+
+    # Health, by symptom
+
+    def usable(self, route, zone=None):
+        """Running backends that a route may go to (from a proxy's zone, where it may not leave it)."""
+        r = self.boot.routes[route]
+        return [b for b, x in self.backends.items() if x.state == "running"
+                and (r.kinds is None or x.kind in r.kinds) and (r.zones is None or x.zone in r.zones)
+                and (not r.own_zone or zone is None or x.zone == zone)]
+
+    def judge(self):
+        """Shuts out what never answers: failures in a row, or silence where answers were due."""
+        if self.reported is None or self.now - self.reported > 1.5 * self.boot.cycle:
+            return
+        running = {b: x for b, x in self.backends.items() if x.state == "running"}
+        parts = self.parts(running)
+        room = MOST_SHUT * sum(x.size for x in running.values()) - sum(x.size for x in running.values() if x.shut)
+        for b, x in running.items():
+            if x.shut or x.heard is None:
+                continue
+            missing = (self.met_tries - x.seen) * parts.get(b, 0.0)
+            silent = missing > SILENT and self.now - x.heard > 2.2 * self.boot.cycle
+            if (silent or x.fails > SILENT) and x.size <= room:
+                x.shut, x.back = True, None
+                room -= x.size
+                self.out.log(f"shut out {b}: {'silent' if silent else 'failing'}")
+
+    def parts(self, running):
+        """The part of all tries that each backend should see, by the tables as sent."""
+        demands = self.demands()
+        parts = {}
+        for table, lines in self.tables.items():
+            total = sum(w for b, w in lines.items() if b in running)
+            for b, w in lines.items():
+                if b in running and total > 0:
+                    parts[b] = parts.get(b, 0.0) + demands[self.route_of(table)] * w / total
+        whole = sum(parts.values())
+        return {b: p / whole for b, p in parts.items()} if whole > 0 else {}
+
+    # Learned capacity and demand
+
+    def warmth(self, x):
+        """The part of a backend's capacity that can be counted on while it is cold or just back."""
+        part = 1.0
+        if x.started and self.now - x.started < self.boot.cold:
+            age = max(self.now - x.started, 0) / self.boot.cold
+            part = self.boot.cold_from + (1 - self.boot.cold_from) * age
+        if x.back is not None and self.now - x.back < 5 * self.boot.cycle:
+            part = min(part, 0.2 + 0.8 * (self.now - x.back) / (5 * self.boot.cycle))
+        return part
+
+    def slo(self):
+        demands = self.demands()
+        whole = sum(demands)
+        routes = self.boot.routes
+        if whole <= 0:
+            return sum(r.slo for r in routes) / len(routes)
+        return sum(d * r.slo for d, r in zip(demands, routes)) / whole
+
+    def learn(self):
+        """Capacities from what was served. A turn without reports teaches nothing."""
+        if not self.fresh_reports:
+            return
+        self.fresh_reports = False
+        slow_at = SLOW * self.slo()
+        served_all = known_all = 0.0
+        for x in self.backends.values():
+            if x.state != "running" or not x.fresh:
+                continue
+            x.fresh = False
+            # A zone that met nothing for a while, while others did, has stopped sending there.
+            for zone, (rate, at) in list(x.served.items()):
+                if self.reported - at > 4 * self.boot.cycle:
+                    x.served[zone] = (rate / 2, at)
+            served = sum(rate for rate, _ in x.served.values())
+            warm = self.warmth(x)
+            failing = x.dropped > FAILING * x.tries
+            slow = x.took is not None and x.took > slow_at
+            if x.load and x.load[0] > 0.05:
+                others = max(x.load[1] - served, 0.0)
+                seen = max(x.load[1] / x.load[0] - others, served) / warm
+                x.capacity = seen if x.capacity is None else (x.capacity + seen) / 2
+            elif x.capacity is None:
+                x.capacity = served / TARGET / warm
+            elif not failing and not slow:
+                x.capacity *= GROWTH
+            if failing or slow:
+                x.capacity = min(x.capacity, DRAIN * served / warm)
+            if not x.load:
+                served_all += served
+                known_all += x.capacity * warm
+        if known_all > served_all / TARGET > 0:
+            # Without load reports the fleet as a whole stays at its served rate over the assumed load;
+            # only the proportions are remembered, so that noise in the served rates moves no table.
+            for x in self.backends.values():
+                if x.capacity is not None:
+                    x.capacity *= served_all / TARGET / known_all
+
+    def demands(self):
+        """Calls a second by route. A gap in the reports leaves a figure as it was."""
+        totals = [0.0] * len(self.boot.routes)
+        mute = 0.0
+        for proxy in self.proxies.values():
+            if not proxy.usage:
+                mute += proxy.typical
+            for route, (rate, at) in proxy.usage.items():
+                totals[route] += rate
+        heard = sum(totals)
+        if mute:
+            for route in range(len(totals)):
+                totals[route] += mute * (totals[route] / heard if heard else 1 / len(totals))
+        return totals
+
+    def capacities(self):
+        """What each running backend can take now; unheard ones count as average for their size."""
+        running = {b: x for b, x in self.backends.items() if x.state == "running"}
+        known = [x for x in running.values() if x.capacity is not None and not x.shut]
+        whole = sum(x.size for x in known)
+        unit = sum(x.capacity for x in known) / whole if whole else 1.0
+        if not known:
+            unit = sum(self.demands()) / TARGET / max(sum(x.size for x in running.values()), 0.01) or 1.0
+        return {b: 0.0 if x.shut else (unit * x.size if x.capacity is None else x.capacity) * self.warmth(x)
+                for b, x in running.items()}
+
+    # The waterfill decides rates, shares and weights
+
+    def route_of(self, table):
+        return table % len(self.boot.routes)
+
+    def layout(self):
+        """One shared table a route; a route that may not leave its zone has one for each zone."""
+        n = len(self.boot.routes)
+        for route, r in enumerate(self.boot.routes):
+            for zone in range(self.boot.zones) if r.own_zone else [None]:
+                yield (route if zone is None else route + n * (1 + zone)), route, zone
+
+    def decide(self):
+        demands, capacity = self.demands(), self.capacities()
+        if not capacity:
+            return
+        ranks = sorted({r.importance for r in self.boot.routes})
+        tables, wants, weights = [], [], []
+        for table, route, zone in self.layout():
+            paths = self.usable(route, zone)
+            if not paths:
+                continue
+            old = self.theta.get(table, {})
+            whole = sum(capacity[b] for b in paths)
+            fresh = {b: capacity[b] / whole if whole > 0 else 1 / len(paths) for b in paths}
+            self.theta[table] = self.floored({b: old.get(b, fresh[b]) for b in paths})
+            zones = [p.typical for p in self.proxies.values() if zone is None or p.zone == zone]
+            part = sum(zones) / max(sum(p.typical for p in self.proxies.values()), 1e-9)
+            want = demands[route] * (1.0 if zone is None else part)
+            if want > 0:
+                tables.append(table)
+                wants.append(want)
+                weights.append(want * 8.0 ** ranks.index(self.boot.routes[route].importance))
+        if not tables:
+            return
+        reach = [sum(capacity[b] for b in self.theta[t]) for t in tables]
+        fit = max(max(w / max(c, 1e-9) for w, c in zip(wants, reach)), sum(wants) / max(sum(capacity.values()), 1e-9))
+        level = min(1.0, fit * SLACK)
+        filled = {b: c * level for b, c in capacity.items()}
+        for _ in range(ITERATIONS):
+            rates = waterfill(wants, weights, [self.theta[t] for t in tables], filled)
+            for t, rate in zip(tables, rates):
+                total = sum(rate.values())
+                if total > 0:
+                    self.theta[t] = self.floored({b: f / total for b, f in rate.items()})
+        used = {b: sum(rate.get(b, 0.0) for rate in rates) for b in capacity}
+        granted = [0.0] * len(demands)
+        wanted = [0.0] * len(demands)
+        spare = [False] * len(demands)
+        for t, rate, want in zip(tables, rates, wants):
+            route = self.route_of(t)
+            granted[route] += sum(rate.values())
+            wanted[route] += want
+            spare[route] |= level < 1.0 or any(used[b] < 0.9 * capacity[b] for b in rate if capacity[b] > 0)
+        for route, want in enumerate(wanted):
+            if want > 0:
+                full = spare[route] or want < 0.9 * self.allocated[route]
+                self.share[route] = 1.0 if full else min(1.0, granted[route] / want)
+                self.allocated[route] = granted[route]
+
+    @staticmethod
+    def floored(theta):
+        least = FLOOR / len(theta)
+        raised = {b: max(t, least) for b, t in theta.items()}
+        total = sum(raised.values())
+        return {b: t / total for b, t in raised.items()}
+
+    # What goes out: tables, levels, withdrawals, bindings
+
+    def tries(self, route):
+        return 1
+
+    def quota(self, route):
+        """The admitted share, or the same number of calls a second for every proxy that yields it."""
+        share = self.share[route]
+        if self.boot.admission != "per_second":
+            return round(share, 3)
+        rates = sorted(p.usage[route][0] if route in p.usage else 0.0 for p in self.proxies.values())
+        if share >= 1.0 or not rates:
+            return 1e6
+        left, quota = share * sum(rates), 0.0
+        for i, rate in enumerate(rates):
+            quota = left / (len(rates) - i)
+            if rate >= quota:
+                break
+            left -= rate
+        return round(quota, 3)
+
+    def users(self, table):
+        zone = table // len(self.boot.routes) - 1
+        return [p for p in self.proxies.values() if p.bound and (zone < 0 or p.zone == zone)]
+
+    def put(self, table, b, weight):
+        lines = self.tables.setdefault(table, {})
+        if weight > 0:
+            lines[b] = weight
+        else:
+            lines.pop(b, None)
+        self.out.line(table, b, weight)
+        for p in self.users(table):
+            p.cost += 1
+
+    def set_out(self, b, out):
+        self.backends[b].out = out
+        self.out.withdraw(b, out)
+        for p in self.proxies.values():
+            p.cost += 1
+
+    def waiting(self):
+        return sum(lines for p in self.proxies.values() for _, lines in p.owed) + sum(
+            p.cost + self.boot.head + 1 for p in self.proxies.values() if p.cost)
+
+    def push(self, turn):
+        changes = []
+        for table, route, zone in self.layout():
+            theta, lines = self.theta.get(table, {}), self.tables.get(table, {})
+            for b, t in theta.items():
+                weight = float(f"{t * len(theta):.3g}")
+                old = lines.get(b, 0.0)
+                if abs(weight - old) > CHANGED * old:
+                    changes.append((0 if old == 0.0 else 1, -abs(weight - old), table, b, weight))
+            for b in lines:
+                if b not in theta and self.backends[b].state != "running":
+                    changes.append((2, 0.0, table, b, 0.0))
+        changes.sort()
+        for order, _, table, b, weight in changes:
+            if order and (not turn or self.waiting() > self.boot.backlog / 2):
+                continue
+            self.put(table, b, weight)
+        for b, x in self.backends.items():
+            if x.out and x.state == "running":
+                self.set_out(b, False)
+            elif not x.out and x.state != "running":
+                self.set_out(b, True)
+        for table, route, zone in self.layout():
+            quota, tries = self.quota(route), self.tries(route)
+            old = self.levels.get(table)
+            if old is None or tries != old[1] or abs(quota - old[0]) > 0.03 * old[0] or (quota == 1) != (old[0] == 1):
+                if old is None or turn:
+                    self.levels[table] = (quota, tries)
+                    self.out.admit(table, (route,), quota, tries)
+                    for p in self.users(table):
+                        p.cost += 1
+
+    def join(self):
+        for p, proxy in self.proxies.items():
+            if proxy.bound or not self.tables:
+                continue
+            cost = 0
+            for table, route, zone in self.layout():
+                if zone is None or zone == proxy.zone:
+                    cost += 2 + len(self.tables.get(table, {})) + sum(
+                        1 for b in self.tables.get(table, {}) if self.backends[b].out)
+            if self.waiting() + cost + self.boot.head > 0.9 * self.boot.backlog:
+                break
+            for table, route, zone in self.layout():
+                if zone is None or zone == proxy.zone:
+                    self.out.bind(p, table, (route,))
+            proxy.bound = True
+            proxy.cost += cost
+
+    def post(self):
+        """Accounts for the messages of this round; a mark tells when they have arrived."""
+        written = [p for p in self.proxies.values() if p.cost]
+        if written:
+            self.mark = (self.mark + 1) % 65536
+            self.out.mark(self.mark)
+            for p in written:
+                p.owed.append((self.mark, p.cost + self.boot.head + 1))
+                p.cost = 0
--- /dev/null
+++ b/cranecleat/wirehost/__init__.py
@@ -0,0 +1,1 @@
+"""The adapter: JSON lines on standard input and output, one planner an instance."""
--- /dev/null
+++ b/cranecleat/wirehost/__main__.py
@@ -0,0 +1,5 @@
+import sys
+
+from cranecleat.wirehost.host import serve
+
+sys.exit(serve(sys.stdin.buffer, sys.stdout.buffer, sys.stderr))
--- /dev/null
+++ b/cranecleat/wirehost/codec.py
@@ -0,0 +1,189 @@
+"""Names and units: the start message into a `Bootstrap`, events into calls, decisions into actions."""
+
+from cranecleat.interface import Bootstrap, Route
+
+MICRO = 1_000_000
+EFFECTS = {"idempotent": "repeatable", "deduplicated": "keyed", "at_most_once": "mutating"}
+ADMISSIONS = ("fraction", "per_second", "silent")
+SCOPES = {"patch": "changes", "whole": "whole", "stale_copy": "held", "broken": "failed"}
+STATES = {"Running": "running", "Stopping": "draining", "Deleted": "gone"}
+
+
+class Malformed(ValueError):
+    """The front sent something that the adapter cannot read; the text says what."""
+
+
+def micros(seconds):
+    return round(seconds * MICRO)
+
+
+def indices(names, all_names):
+    """A restriction to named zones or kinds, given as names or indices, as a set of indices."""
+    if not names:
+        return None
+    return frozenset(all_names.index(n) if isinstance(n, str) else int(n) for n in names)
+
+
+def choice(table, value, what):
+    if value not in table:
+        raise Malformed(f"unknown {what} {value!r}")
+    return table[value] if isinstance(table, dict) else value
+
+
+def bootstrap(info):
+    """Decodes the settings of a start message; a missing figure is named in the error."""
+    try:
+        special, rules = info["specifics"], info["rules"]
+        zones, kinds = info["localities"], info.get("skus", [])
+        own_zone = special.get("zoneBound", [])
+        routes = tuple(
+            Route(
+                importance=float(c["credit"]),
+                slo=micros(c["goalTime"]),
+                effect=choice(EFFECTS, c["effect"], "effect"),
+                window=micros(c.get("keyTtl", 0)),
+                everywhere=c.get("group", "all") == "all",
+                own_zone=bool(own_zone[i]) if i < len(own_zone) else False,
+                kinds=indices(c.get("onlyKinds"), kinds),
+                zones=indices(c.get("onlyZones"), zones),
+            )
+            for i, c in enumerate(info["requestClasses"])
+        )
+        return Bootstrap(
+            routes=routes,
+            zones=len(zones),
+            must_ask=info["membershipMode"] == "ask",
+            ask_within=micros(rules.get("askWithin", 10)),
+            admission=choice(ADMISSIONS, special["admission"], "admission"),
+            first_wait=float(special["firstWait"]),
+            cycle=micros(special["cycle"]),
+            backlog=int(special["backlog"]),
+            pace=float(special["egressPerS"]),
+            head=float(special["perMessage"]),
+            transit=micros(special["transitMax"]),
+            messages_most=int(special.get("messagesMost", 0)),
+            messages_over=micros(special.get("countedOver", 10)),
+            grace=micros(rules["stopSendingWithin"]),
+            bare=micros(special["bare"]),
+            cold=micros(rules["cold"]),
+            cold_from=float(rules["coldFrom"]),
+            tip=float(rules["tipMultiple"]),
+            slices=int(special.get("keyRanges", 0)),
+            sole_owner=bool(special.get("soleOwner", False)),
+        )
+    except KeyError as missing:
+        raise Malformed(f"the start message lacks {missing.args[0]!r}") from None
+    except Malformed:
+        raise
+    except (TypeError, ValueError, AttributeError, IndexError) as wrong:
+        raise Malformed(f"the start message cannot be read: {wrong}") from None
+
+
+class Names:
+    """Backend ids and small indices, for one instance."""
+
+    def __init__(self):
+        self.ids, self.index = [], {}
+
+    def __call__(self, name):
+        if name not in self.index:
+            self.index[name] = len(self.ids)
+            self.ids.append(name)
+        return self.index[name]
+
+
+def decode(event, names):
+    """An event as a call of the planner (a verb and its values), or None for an unknown kind."""
+    kind = event["kind"]
+    if kind == "tally":
+        load = event.get("telemetry") or {}
+        busy, served = load.get("utilization"), load.get("throughput")
+        known = isinstance(busy, (int, float)) and isinstance(served, (int, float))
+        return ("met", names(event["backend"]), int(event.get("failureDomain", 0)), int(event.get("many", 0)),
+                int(event.get("unanswered", 0)), micros(event.get("costTime", 0)),
+                micros(event.get("covers", 0)), (float(busy), float(served)) if known else None)
+    if kind == "offeredLoad":
+        return ("came", int(event["sidecar"]), int(event.get("lane", 0)), int(event.get("many", 0)),
+                micros(event.get("covers", 0)))
+    if kind == "timeoutFired":
+        return ("woke", int(event.get("mark", 0)))
+    if kind == "installed":
+        return ("applied", int(event["sidecar"]), int(event.get("number", 0)))
+    if kind == "connected":
+        return ("joined", int(event["sidecar"]), int(event.get("failureDomain", 0)), float(event.get("share", 0)))
+    if kind == "droppedOff":
+        return ("left", int(event["sidecar"]))
+    if kind == "rosterChange":
+        entries = [
+            (names(r["backend"]), choice(STATES, r.get("state", "Running"), "state"),
+             int(r.get("failureDomain", 0)), int(r.get("type", 0)), float(r.get("share", 1)),
+             micros(r.get("startedAt", 0) or 0))
+            for r in event.get("records") or []
+        ]
+        return ("listed", choice(SCOPES, event.get("scope", "patch"), "scope"), entries)
+    if kind == "leased":
+        return ("given", int(event["routeTable"]), bool(event.get("set", False)))
+    if kind == "recorded":
+        return ("held", int(event["routeTable"]), names(event["backend"]), float(event.get("share", 0)))
+    if kind == "keyLoad":
+        return ("heat", int(event["routeTable"]), int(event.get("lane", 0)), int(event.get("many", 0)),
+                micros(event.get("covers", 0)))
+    if kind == "echo":
+        return ("probed", names(event["backend"]), event.get("stateCode") == "done",
+                micros(event.get("costTime", 0)))
+    if kind == "datagram":
+        return ("told", int(event.get("src", 0)), str(event.get("content", "")))
+    return None
+
+
+class Actions:
+    """The writer of one instance: decisions become the actions of a reply."""
+
+    def __init__(self, instance, names, out):
+        self.instance, self.names, self.out = instance, names, out
+
+    def put(self, kind, **fields):
+        self.out.append({"kind": kind, "coordinator": self.instance, **fields})
+
+    @staticmethod
+    def bits(routes):
+        return sum(1 << r for r in routes)
+
+    def line(self, table, backend, weight):
+        self.put("setWeight", routeTable=table, backend=self.names.ids[backend], share=weight)
+
+    def clear(self, table):
+        self.put("empty", routeTable=table)
+
+    def bind(self, proxy, table, routes):
+        self.put("subscribeTo", sidecar=proxy, routeTable=table, classes=self.bits(routes))
+
+    def withdraw(self, backend, out):
+        self.put("bench", backend=self.names.ids[backend], set=out)
+
+    def admit(self, table, routes, level, tries):
+        self.put("ration", routeTable=table, classes=self.bits(routes), quota=level, how=tries)
+
+    def mark(self, number):
+        self.put("seal", number=number, set=False)
+
+    def watch(self):
+        self.put("listen", set=True)
+
+    def fetch(self):
+        self.put("readList")
+
+    def probe(self, backend):
+        self.put("healthCheck", backend=self.names.ids[backend])
+
+    def tell(self, peer, text):
+        self.put("memoTo", to=peer, content=text)
+
+    def wake(self, at, number):
+        self.put("sleep", time=at / MICRO, mark=number)
+
+    def log(self, text):
+        self.put("trace", reasonText=text)
+
+    def fault(self, text):
+        self.put("fault", reasonText=text)
