--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -98,7 +98,8 @@
         self.due, self.next_turn, self.mark, self.met_tries = [], None, 0, 0.0
         self.reported = None  # when the last line of a report came
         self.fresh_reports = self.recompute_now = False
-        self.asking = self.asks = 0
+        self.asks = 0
+        self.level = 1.0  # the part of their capacity to which backends are filled
 
     def round(self, now, arrivals, out):
         self.now, self.out = now, out
@@ -290,10 +291,13 @@
             return
         self.fresh_reports = False
         slow_at = SLOW * self.slo()
-        served_all = known_all = 0.0
-        for x in self.backends.values():
-            if x.state != "running" or not x.fresh:
-                continue
+        heard = [x for x in self.backends.values() if x.state == "running" and x.fresh]
+        bad = {x for x in heard if x.dropped > FAILING * x.tries or (x.took is not None and x.took > slow_at)}
+        # One slow backend is a matter of proportion: it drops to its served rate as seen at the level to which
+        # all are filled now. When most are slow the fleet is short, and the drop is to the served rate itself.
+        known = sum(x.capacity or 0.0 for x in heard)
+        level = self.level if sum(x.capacity or 0.0 for x in bad) <= 0.5 * known else 1.0
+        for x in heard:
             x.fresh = False
             # A zone that met nothing for a while, while others did, has stopped sending there.
             for zone, (rate, at) in list(x.served.items()):
@@ -301,27 +305,16 @@
                     x.served[zone] = (rate / 2, at)
             served = sum(rate for rate, _ in x.served.values())
             warm = self.warmth(x)
-            failing = x.dropped > FAILING * x.tries
-            slow = x.took is not None and x.took > slow_at
             if x.load and x.load[0] > 0.05:
                 others = max(x.load[1] - served, 0.0)
                 seen = max(x.load[1] / x.load[0] - others, served) / warm
                 x.capacity = seen if x.capacity is None else (x.capacity + seen) / 2
             elif x.capacity is None:
                 x.capacity = served / TARGET / warm
-            elif not failing and not slow:
+            elif x not in bad:
                 x.capacity *= GROWTH
-            if failing or slow:
-                x.capacity = min(x.capacity, DRAIN * served / warm)
-            if not x.load:
-                served_all += served
-                known_all += x.capacity * warm
-        if known_all > served_all / TARGET > 0:
-            # Without load reports the fleet as a whole stays at its served rate over the assumed load;
-            # only the proportions are remembered, so that noise in the served rates moves no table.
-            for x in self.backends.values():
-                if x.capacity is not None:
-                    x.capacity *= served_all / TARGET / known_all
+            if x in bad:
+                x.capacity = min(x.capacity, DRAIN * served / warm / level)
 
     def demands(self):
         """Calls a second by route. A gap in the reports leaves a figure as it was."""
@@ -342,11 +335,14 @@
         """What each running backend can take now; unheard ones count as average for their size."""
         running = {b: x for b, x in self.backends.items() if x.state == "running"}
         known = [x for x in running.values() if x.capacity is not None and not x.shut]
-        whole = sum(x.size for x in known)
-        unit = sum(x.capacity for x in known) / whole if whole else 1.0
+        unit = {}
+        for kind in {x.kind for x in running.values()}:
+            alike = [x for x in known if x.kind == kind] or known
+            unit[kind] = sum(x.capacity for x in alike) / sum(x.size for x in alike) if alike else 1.0
         if not known:
-            unit = sum(self.demands()) / TARGET / max(sum(x.size for x in running.values()), 0.01) or 1.0
-        return {b: 0.0 if x.shut else (unit * x.size if x.capacity is None else x.capacity) * self.warmth(x)
+            even = sum(self.demands()) / TARGET / max(sum(x.size for x in running.values()), 0.01) or 1.0
+            unit = dict.fromkeys(unit, even)
+        return {b: 0.0 if x.shut else (unit[x.kind] * x.size if x.capacity is None else x.capacity) * self.warmth(x)
                 for b, x in running.items()}
 
     # The waterfill decides rates, shares and weights
@@ -386,7 +382,7 @@
             return
         reach = [sum(capacity[b] for b in self.theta[t]) for t in tables]
         fit = max(max(w / max(c, 1e-9) for w, c in zip(wants, reach)), sum(wants) / max(sum(capacity.values()), 1e-9))
-        level = min(1.0, fit * SLACK)
+        level = self.level = min(1.0, fit * SLACK)
         filled = {b: c * level for b, c in capacity.items()}
         for _ in range(ITERATIONS):
             rates = waterfill(wants, weights, [self.theta[t] for t in tables], filled)
@@ -426,7 +422,10 @@
         share = self.share[route]
         if self.boot.admission != "per_second":
             return round(share, 3)
-        rates = sorted(p.usage[route][0] if route in p.usage else 0.0 for p in self.proxies.values())
+        mix = self.demands()
+        part = mix[route] / sum(mix) if sum(mix) else 0.0
+        rates = sorted(p.usage.get(route, (0.0, 0))[0] if p.usage else p.typical * part
+                       for p in self.proxies.values())
         if share >= 1.0 or not rates:
             return 1e6
         left, quota = share * sum(rates), 0.0
