--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -85,6 +85,9 @@
         self.cost = 0  # lines that this round has put into its message
         self.sent = []  # when messages were written, within the counted span
 
+    def calls(self):
+        return sum(rate for rate, _ in self.usage.values()) if self.usage else self.typical
+
 
 class Planner:
     def __init__(self, bootstrap, seed):
@@ -99,6 +102,7 @@
         self.reported = None  # when the last line of a report came
         self.fresh_reports = self.recompute_now = False
         self.asks = 0
+        self.strained = None  # when backends were last seen slow or failing
         self.level = 1.0  # the part of their capacity to which backends are filled
 
     def round(self, now, arrivals, out):
@@ -165,11 +169,31 @@
                     backend.state = "gone"
         self.recompute_now = True
 
-    def joined(self, proxy, zone, typical):
-        self.proxies[proxy] = Proxy(zone, typical)
+    def joined(self, p, zone, typical):
+        self.left(p)
+        self.rebase(zone, typical)
+        self.proxies[p] = Proxy(zone, typical)
 
-    def left(self, proxy):
-        self.proxies.pop(proxy, None)
+    def left(self, p):
+        proxy = self.proxies.pop(p, None)
+        if proxy:
+            self.rebase(proxy.zone, 0.0, -proxy.calls())
+
+    def rebase(self, zone, more, less=0.0):
+        """What is known of a backend is the part that the joined proxies use. It moves with them at once: served
+        rates that lag behind would make arrivals from a dead coordinator look like a surge of traffic."""
+        zoned = sum(p.calls() for p in self.proxies.values() if p.zone == zone)
+        whole = sum(p.calls() for p in self.proxies.values())
+        if less:
+            zoned, whole, more = zoned - less, whole - less, less
+        if zoned <= 0 or whole + more <= 0:
+            return
+        for x in self.backends.values():
+            if x.capacity is not None:
+                x.capacity *= (whole + more) / whole
+            if zone in x.served:
+                rate, at = x.served[zone]
+                x.served[zone] = (rate * max(zoned + more, 0.0) / zoned, at)
 
     def met(self, b, zone, tries, dropped, took, covers, load):
         backend = self.backends.get(b)
@@ -296,7 +320,10 @@
         # One slow backend is a matter of proportion: it drops to its served rate as seen at the level to which
         # all are filled now. When most are slow the fleet is short, and the drop is to the served rate itself.
         known = sum(x.capacity or 0.0 for x in heard)
-        level = self.level if sum(x.capacity or 0.0 for x in bad) <= 0.5 * known else 1.0
+        strained = sum(x.capacity or 0.0 for x in bad)
+        level = self.level
+        if strained > 0.5 * known:
+            level, self.strained = 1.0, self.now
         for x in heard:
             x.fresh = False
             # A zone that met nothing for a while, while others did, has stopped sending there.
@@ -382,6 +409,14 @@
             return
         reach = [sum(capacity[b] for b in self.theta[t]) for t in tables]
         fit = max(max(w / max(c, 1e-9) for w, c in zip(wants, reach)), sum(wants) / max(sum(capacity.values()), 1e-9))
+        if fit * SLACK > 1.0 and not any(x.load for x in self.backends.values()) and (self.strained is None or self.now - self.strained > 5 * self.boot.cycle):
+            # Served over 0.65 is what was asked of a backend, not what it can do. As long as nothing is slow or
+            # failing, more demand (another coordinator's proxies, a start after a crash) is not turned away.
+            for x in self.backends.values():
+                if x.capacity is not None:
+                    x.capacity *= fit * SLACK
+            capacity = self.capacities()
+            fit = 1.0 / SLACK
         level = self.level = min(1.0, fit * SLACK)
         filled = {b: c * level for b, c in capacity.items()}
         for _ in range(ITERATIONS):
