--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -321,9 +321,9 @@
         # all are filled now. When most are slow the fleet is short, and the drop is to the served rate itself.
         known = sum(x.capacity or 0.0 for x in heard)
         strained = sum(x.capacity or 0.0 for x in bad)
-        level = self.level
-        if strained > 0.5 * known:
-            level, self.strained = 1.0, self.now
+        level = self.level if strained <= 0.5 * known else 1.0
+        if strained > 0.1 * known:
+            self.strained = self.now
         for x in heard:
             x.fresh = False
             # A zone that met nothing for a while, while others did, has stopped sending there.
