--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -8,6 +8,7 @@
 
 import zlib
 from heapq import heappop, heappush
+from math import e, log
 
 TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
 TARGET = 0.65  # assumed load where none is reported
@@ -24,31 +25,31 @@
 
 
 def waterfill(demands, weights, paths, capacity):
-    """Alg. 2 of the paper: rates f[k][e] of demand k on backend e, each link visited once, in ascending
+    """Alg. 2 of the paper: rates f[k][j] of demand k on backend e, each link visited once, in ascending
     order of its first fair share. A demand's own size is a virtual link over all of its paths."""
     rates = [dict.fromkeys(path, float("inf")) for path in paths]
     links = []
     for k, path in enumerate(paths):
         total = weights[k] * sum(path.values())
         if total > 0:
-            links.append((demands[k] / total, 0, k, demands[k], [(k, e) for e in path]))
+            links.append((demands[k] / total, 0, k, demands[k], [(k, j) for j in path]))
     members = {}
     for k, path in enumerate(paths):
-        for e in path:
-            members.setdefault(e, []).append((k, e))
-    for e, crossing in members.items():
-        total = sum(weights[k] * paths[k][e] for k, _ in crossing)
-        links.append((capacity[e] / total if total > 0 else 0.0, 1, e, capacity[e], crossing))
+        for j in path:
+            members.setdefault(j, []).append((k, j))
+    for j, crossing in members.items():
+        total = sum(weights[k] * paths[k][j] for k, _ in crossing)
+        links.append((capacity[j] / total if total > 0 else 0.0, 1, j, capacity[j], crossing))
     for _, _, _, left, crossing in sorted(links):
         while crossing:
-            total = sum(weights[k] * paths[k][e] for k, e in crossing)
+            total = sum(weights[k] * paths[k][j] for k, j in crossing)
             fair = max(left, 0.0) / total if total > 0 else 0.0
-            elsewhere = [(k, e) for k, e in crossing if rates[k][e] < fair * weights[k] * paths[k][e]]
+            elsewhere = [(k, j) for k, j in crossing if rates[k][j] < fair * weights[k] * paths[k][j]]
             if not elsewhere:
-                for k, e in crossing:
-                    rates[k][e] = fair * weights[k] * paths[k][e]
+                for k, j in crossing:
+                    rates[k][j] = fair * weights[k] * paths[k][j]
                 break
-            left -= sum(rates[k][e] for k, e in elsewhere)
+            left -= sum(rates[k][j] for k, j in elsewhere)
             gone = set(elsewhere)
             crossing = [c for c in crossing if c not in gone]
     return rates
@@ -56,7 +57,7 @@
 
 class Backend:
     __slots__ = ("state", "zone", "kind", "size", "started", "out", "capacity", "served", "heard", "fails",
-                 "tries", "dropped", "took", "seen", "shut", "back", "load", "fresh")
+                 "tries", "dropped", "took", "seen", "shut", "back", "load", "fresh", "held", "bad")
 
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
@@ -66,12 +67,13 @@
     def forget(self):
         """Nothing is known of the process that runs there now."""
         self.capacity = None  # calls a second; None: unheard
+        self.held = 0.0  # what it was given when it was last found slow or failing
         self.served = {}  # zone -> (answered a second, smoothed; when heard)
         self.tries = self.dropped = 0.0  # smoothed sums, for the part that fails
         self.took = None  # answer time, smoothed
         self.load = None  # what it reports: (part of its cores busy, calls a second)
         self.heard, self.fails, self.seen = None, 0, 0.0  # last heard; failures in a row; tries met by then
-        self.shut, self.back, self.fresh = False, None, False
+        self.shut, self.back, self.fresh, self.bad = False, None, False, False
 
 
 class Proxy:
@@ -191,6 +193,7 @@
         for x in self.backends.values():
             if x.capacity is not None:
                 x.capacity *= (whole + more) / whole
+                x.held *= (whole + more) / whole
             if zone in x.served:
                 rate, at = x.served[zone]
                 x.served[zone] = (rate * max(zoned + more, 0.0) / zoned, at)
@@ -267,12 +270,15 @@
         running = {b: x for b, x in self.backends.items() if x.state == "running"}
         parts = self.parts(running)
         room = MOST_SHUT * sum(x.size for x in running.values()) - sum(x.size for x in running.values() if x.shut)
+        # How many failures in a row mean something depends on how many fail everywhere.
+        common = sum(x.dropped for x in running.values()) / max(sum(x.tries for x in running.values()), 1.0)
+        enough = SILENT / -log(min(max(common, 1 / e), 0.95))
         for b, x in running.items():
             if x.shut or x.heard is None:
                 continue
             missing = (self.met_tries - x.seen) * parts.get(b, 0.0)
             silent = missing > SILENT and self.now - x.heard > 2.2 * self.boot.cycle
-            if (silent or x.fails > SILENT) and x.size <= room:
+            if (silent or x.fails > enough) and x.size <= room:
                 x.shut, x.back = True, None
                 room -= x.size
                 self.out.log(f"shut out {b}: {'silent' if silent else 'failing'}")
@@ -339,9 +345,14 @@
             elif x.capacity is None:
                 x.capacity = served / TARGET / warm
             elif x not in bad:
-                x.capacity *= GROWTH
+                # Half of the way back to what it held before the trouble, which may have been a passing one
+                # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground.
+                x.capacity = max(x.capacity * GROWTH, (x.capacity + x.held) / 2)
             if x in bad:
+                if not x.bad:
+                    x.held = x.capacity * self.level / level
                 x.capacity = min(x.capacity, DRAIN * served / warm / level)
+            x.bad = x in bad
 
     def demands(self):
         """Calls a second by route. A gap in the reports leaves a figure as it was."""
