--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -21,6 +21,8 @@
 FAILING = 0.2  # and a backend fails past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow backend is given, so that its queue shortens
 SILENT = 8  # tries that must be missing, or have failed in a row, before a backend counts as not answering
+MEMORY = 40  # answers that an answer time rests on at most
+PRIOR = 10  # answers that the average of its kind counts for
 MOST_SHUT = 0.5  # part of the capacity that may be shut out on symptoms
 
 
@@ -55,9 +57,18 @@
     return rates
 
 
+class Tally:
+    """What the reports of one turn add up to."""
+
+    __slots__ = ("tries", "dropped", "answered", "took")
+
+    def __init__(self):
+        self.tries = self.dropped = self.answered = self.took = 0
+
+
 class Backend:
-    __slots__ = ("state", "zone", "kind", "size", "started", "out", "capacity", "served", "heard", "fails",
-                 "tries", "dropped", "took", "seen", "shut", "back", "load", "fresh", "held", "bad")
+    __slots__ = ("state", "zone", "kind", "size", "started", "out", "stated", "served", "heard", "fails",
+                 "tries", "dropped", "took", "calls", "seen", "shut", "back", "load")
 
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
@@ -66,14 +77,15 @@
 
     def forget(self):
         """Nothing is known of the process that runs there now."""
-        self.capacity = None  # calls a second; None: unheard
-        self.held = 0.0  # what it was given when it was last found slow or failing
+        self.load = self.stated = None  # what it reports (cores busy, calls a second); capacity from that
         self.served = {}  # zone -> (answered a second, smoothed; when heard)
         self.tries = self.dropped = 0.0  # smoothed sums, for the part that fails
-        self.took = None  # answer time, smoothed
-        self.load = None  # what it reports: (part of its cores busy, calls a second)
+        self.took, self.calls = 0.0, 0.0  # answer time, and how many answers it rests on
         self.heard, self.fails, self.seen = None, 0, 0.0  # last heard; failures in a row; tries met by then
-        self.shut, self.back, self.fresh, self.bad = False, None, False, False
+        self.shut, self.back = False, None
+
+    def answering(self):
+        return sum(rate for rate, _ in self.served.values())
 
 
 class Proxy:
@@ -102,9 +114,11 @@
         self.allocated = [0.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.met_tries = [], None, 0, 0.0
         self.reported = None  # when the last line of a report came
-        self.fresh_reports = self.recompute_now = False
+        self.recompute_now = False
+        self.told = Tally()
+        self.fleet, self.held = None, 0.0  # calls a second that all backends can do; what they did before trouble
         self.asks = 0
-        self.strained = None  # when backends were last seen slow or failing
+        self.strained = False  # the fleet is slow or failing
         self.level = 1.0  # the part of their capacity to which backends are filled
 
     def round(self, now, arrivals, out):
@@ -190,10 +204,10 @@
             zoned, whole, more = zoned - less, whole - less, less
         if zoned <= 0 or whole + more <= 0:
             return
+        if self.fleet is not None:
+            self.fleet *= (whole + more) / whole
+            self.held *= (whole + more) / whole
         for x in self.backends.values():
-            if x.capacity is not None:
-                x.capacity *= (whole + more) / whole
-                x.held *= (whole + more) / whole
             if zone in x.served:
                 rate, at = x.served[zone]
                 x.served[zone] = (rate * max(zoned + more, 0.0) / zoned, at)
@@ -210,16 +224,20 @@
         self.met_tries += tries
         backend.tries, backend.dropped = keep * backend.tries + tries, keep * backend.dropped + dropped
         if answered:
-            hold = keep ** 0.5
-            backend.took = took if backend.took is None else hold * backend.took + (1 - hold) * took
+            backend.took = (backend.took * backend.calls + took * answered) / (backend.calls + answered)
+            backend.calls = min(backend.calls + answered, MEMORY)
             backend.fails = 0
             if backend.shut:
                 backend.shut, backend.back = False, self.now
         else:
             backend.fails += tries
         backend.load = load or backend.load
-        backend.heard, backend.seen, backend.fresh = self.now, self.met_tries, True
-        self.reported, self.fresh_reports = self.now, True
+        backend.heard, backend.seen, self.reported = self.now, self.met_tries, self.now
+        if not backend.shut:
+            self.told.tries += tries
+            self.told.dropped += dropped
+            self.told.answered += answered
+            self.told.took += answered * took
 
     def came(self, p, route, calls, covers):
         proxy = self.proxies.get(p)
@@ -316,43 +334,37 @@
         return sum(d * r.slo for d, r in zip(demands, routes)) / whole
 
     def learn(self):
-        """Capacities from what was served. A turn without reports teaches nothing."""
-        if not self.fresh_reports:
+        """Fleet capacity from what was served. A turn without reports teaches nothing."""
+        told, self.told = self.told, Tally()
+        if not told.tries:
             return
-        self.fresh_reports = False
-        slow_at = SLOW * self.slo()
-        heard = [x for x in self.backends.values() if x.state == "running" and x.fresh]
-        bad = {x for x in heard if x.dropped > FAILING * x.tries or (x.took is not None and x.took > slow_at)}
-        # One slow backend is a matter of proportion: it drops to its served rate as seen at the level to which
-        # all are filled now. When most are slow the fleet is short, and the drop is to the served rate itself.
-        known = sum(x.capacity or 0.0 for x in heard)
-        strained = sum(x.capacity or 0.0 for x in bad)
-        level = self.level if strained <= 0.5 * known else 1.0
-        if strained > 0.1 * known:
-            self.strained = self.now
-        for x in heard:
-            x.fresh = False
+        running = [x for x in self.backends.values() if x.state == "running"]
+        for x in running:
             # A zone that met nothing for a while, while others did, has stopped sending there.
             for zone, (rate, at) in list(x.served.items()):
                 if self.reported - at > 4 * self.boot.cycle:
                     x.served[zone] = (rate / 2, at)
-            served = sum(rate for rate, _ in x.served.values())
-            warm = self.warmth(x)
             if x.load and x.load[0] > 0.05:
-                others = max(x.load[1] - served, 0.0)
-                seen = max(x.load[1] / x.load[0] - others, served) / warm
-                x.capacity = seen if x.capacity is None else (x.capacity + seen) / 2
-            elif x.capacity is None:
-                x.capacity = served / TARGET / warm
-            elif x not in bad:
-                # Half of the way back to what it held before the trouble, which may have been a passing one
-                # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground.
-                x.capacity = max(x.capacity * GROWTH, (x.capacity + x.held) / 2)
-            if x in bad:
-                if not x.bad:
-                    x.held = x.capacity * self.level / level
-                x.capacity = min(x.capacity, DRAIN * served / warm / level)
-            x.bad = x in bad
+                mine = x.answering()
+                seen = max(x.load[1] / x.load[0] - max(x.load[1] - mine, 0.0), mine) / self.warmth(x)
+                x.stated = seen if x.stated is None else (x.stated + seen) / 2
+        served = sum(x.answering() for x in running)
+        stated = sum(x.stated for x in running if x.stated is not None)
+        slow = told.answered and told.took / told.answered > SLOW * self.slo()
+        if slow or told.dropped > FAILING * told.tries:
+            if not self.strained:
+                self.held = (self.fleet or served) * self.level
+            self.strained = True
+            self.fleet = min(self.fleet or served, DRAIN * served)
+        elif self.fleet is None:
+            self.fleet = stated or served / TARGET
+        else:
+            # Half of the way back to what was carried before the trouble, which may have been a passing one
+            # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground.
+            self.strained = False
+            self.fleet = max(self.fleet * GROWTH, (self.fleet + self.held) / 2)
+        if stated:
+            self.fleet = min(self.fleet, stated)
 
     def demands(self):
         """Calls a second by route. A gap in the reports leaves a figure as it was."""
@@ -370,18 +382,31 @@
         return totals
 
     def capacities(self):
-        """What each running backend can take now; unheard ones count as average for their size."""
+        """What each running backend can take now: its part of what the fleet can. The parts are the reported
+        capacities, else size over answer time, which is the load that a call brings; unheard ones count as average
+        for their size and kind."""
         running = {b: x for b, x in self.backends.items() if x.state == "running"}
-        known = [x for x in running.values() if x.capacity is not None and not x.shut]
-        unit = {}
+        part = {}
         for kind in {x.kind for x in running.values()}:
-            alike = [x for x in known if x.kind == kind] or known
-            unit[kind] = sum(x.capacity for x in alike) / sum(x.size for x in alike) if alike else 1.0
-        if not known:
-            even = sum(self.demands()) / TARGET / max(sum(x.size for x in running.values()), 0.01) or 1.0
-            unit = dict.fromkeys(unit, even)
-        return {b: 0.0 if x.shut else (unit[x.kind] * x.size if x.capacity is None else x.capacity) * self.warmth(x)
-                for b, x in running.items()}
+            alike = [x for x in running.values() if x.kind == kind]
+            heard = [x for x in alike if x.calls] or [x for x in running.values() if x.calls]
+            took = sum(x.took * x.calls for x in heard) / sum(x.calls for x in heard) if heard else 1.0
+            stated = [x for x in alike if x.stated] or [x for x in running.values() if x.stated]
+            unit = sum(x.stated for x in stated) / sum(x.size for x in stated) if stated else 0.0
+            for b, x in running.items():
+                if x.kind == kind and stated:
+                    part[b] = x.stated or unit * x.size
+                elif x.kind == kind:
+                    part[b] = x.size * (x.calls + PRIOR) / (x.calls * x.took + PRIOR * took)
+        whole = sum(part[b] * self.warmth(x) for b, x in running.items()) or 1.0
+        fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
+        capacity = {b: fleet * part[b] * self.warmth(x) / whole for b, x in running.items()}
+        for b, x in running.items():
+            if x.shut:
+                capacity[b] = 0.0
+            elif x.dropped > FAILING * x.tries:
+                capacity[b] = min(capacity[b], DRAIN * x.answering() / self.level)
+        return capacity
 
     # The waterfill decides rates, shares and weights
 
@@ -420,12 +445,11 @@
             return
         reach = [sum(capacity[b] for b in self.theta[t]) for t in tables]
         fit = max(max(w / max(c, 1e-9) for w, c in zip(wants, reach)), sum(wants) / max(sum(capacity.values()), 1e-9))
-        if fit * SLACK > 1.0 and not any(x.load for x in self.backends.values()) and (self.strained is None or self.now - self.strained > 5 * self.boot.cycle):
+        if fit * SLACK > 1.0 and not self.strained and not self.held and not any(
+                x.load for x in self.backends.values()):
             # Served over 0.65 is what was asked of a backend, not what it can do. As long as nothing is slow or
             # failing, more demand (another coordinator's proxies, a start after a crash) is not turned away.
-            for x in self.backends.values():
-                if x.capacity is not None:
-                    x.capacity *= fit * SLACK
+            self.fleet = (self.fleet or 1.0) * fit * SLACK
             capacity = self.capacities()
             fit = 1.0 / SLACK
         level = self.level = min(1.0, fit * SLACK)
