--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -29,6 +29,7 @@
 
     routes: tuple[Route, ...]
     zones: int
+    coordinators: int
     must_ask: bool  # the backend list has to be asked for
     ask_within: int  # without an answer for this long, what was listed counts as known
     admission: str  # "fraction", "per_second" or "silent"
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -67,8 +67,8 @@
 
 
 class Backend:
-    __slots__ = ("state", "zone", "kind", "size", "started", "out", "stated", "served", "heard", "fails",
-                 "tries", "dropped", "took", "calls", "seen", "shut", "back", "load")
+    __slots__ = ("state", "zone", "kind", "size", "started", "out", "served", "heard", "fails",
+                 "tries", "dropped", "took", "calls", "seen", "shut", "back", "busy", "rate", "weight")
 
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
@@ -77,7 +77,7 @@
 
     def forget(self):
         """Nothing is known of the process that runs there now."""
-        self.load = self.stated = None  # what it reports (cores busy, calls a second); capacity from that
+        self.busy = self.rate = self.weight = 0.0  # what it reports, summed with decay: cores busy, calls a second
         self.served = {}  # zone -> (answered a second, smoothed; when heard)
         self.tries = self.dropped = 0.0  # smoothed sums, for the part that fails
         self.took, self.calls = 0.0, 0.0  # answer time, and how many answers it rests on
@@ -231,7 +231,12 @@
                 backend.shut, backend.back = False, self.now
         else:
             backend.fails += tries
-        backend.load = load or backend.load
+        if load and load[0] > 0.02:
+            # Served rate over reported load, as a ratio of sums: a nearly idle backend's report says little.
+            hold = keep ** 0.25
+            backend.busy = hold * backend.busy + load[0] * self.warmth(backend)
+            backend.rate = hold * backend.rate + load[1]
+            backend.weight = hold * backend.weight + 1.0
         backend.heard, backend.seen, self.reported = self.now, self.met_tries, self.now
         if not backend.shut:
             self.told.tries += tries
@@ -344,12 +349,7 @@
             for zone, (rate, at) in list(x.served.items()):
                 if self.reported - at > 4 * self.boot.cycle:
                     x.served[zone] = (rate / 2, at)
-            if x.load and x.load[0] > 0.05:
-                mine = x.answering()
-                seen = max(x.load[1] / x.load[0] - max(x.load[1] - mine, 0.0), mine) / self.warmth(x)
-                x.stated = seen if x.stated is None else (x.stated + seen) / 2
         served = sum(x.answering() for x in running)
-        stated = sum(x.stated for x in running if x.stated is not None)
         slow = told.answered and told.took / told.answered > SLOW * self.slo()
         if slow or told.dropped > FAILING * told.tries:
             if not self.strained:
@@ -357,14 +357,12 @@
             self.strained = True
             self.fleet = min(self.fleet or served, DRAIN * served)
         elif self.fleet is None:
-            self.fleet = stated or served / TARGET
+            self.fleet = served / TARGET
         else:
             # Half of the way back to what was carried before the trouble, which may have been a passing one
             # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground.
             self.strained = False
             self.fleet = max(self.fleet * GROWTH, (self.fleet + self.held) / 2)
-        if stated:
-            self.fleet = min(self.fleet, stated)
 
     def demands(self):
         """Calls a second by route. A gap in the reports leaves a figure as it was."""
@@ -381,6 +379,13 @@
                 totals[route] += mute * (totals[route] / heard if heard else 1 / len(totals))
         return totals
 
+    def stated(self, x):
+        """Capacity by what a backend reports, less what other coordinators' proxies take of it."""
+        whole = x.rate / x.busy
+        if self.boot.coordinators > 1:
+            whole = max(whole - max(x.rate / x.weight - x.answering(), 0.0), x.answering())
+        return max(whole, 0.01)
+
     def capacities(self):
         """What each running backend can take now: its part of what the fleet can. The parts are the reported
         capacities, else size over answer time, which is the load that a call brings; unheard ones count as average
@@ -391,14 +396,16 @@
             alike = [x for x in running.values() if x.kind == kind]
             heard = [x for x in alike if x.calls] or [x for x in running.values() if x.calls]
             took = sum(x.took * x.calls for x in heard) / sum(x.calls for x in heard) if heard else 1.0
-            stated = [x for x in alike if x.stated] or [x for x in running.values() if x.stated]
-            unit = sum(x.stated for x in stated) / sum(x.size for x in stated) if stated else 0.0
+            stated = [x for x in alike if x.busy] or [x for x in running.values() if x.busy]
+            unit = sum(self.stated(x) for x in stated) / sum(x.size for x in stated) if stated else 0.0
             for b, x in running.items():
                 if x.kind == kind and stated:
-                    part[b] = x.stated or unit * x.size
+                    part[b] = self.stated(x) if x.busy else unit * x.size
                 elif x.kind == kind:
                     part[b] = x.size * (x.calls + PRIOR) / (x.calls * x.took + PRIOR * took)
         whole = sum(part[b] * self.warmth(x) for b, x in running.items()) or 1.0
+        if stated:
+            self.fleet = min(self.fleet or whole, whole)  # what is reported is not grown beyond
         fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
         capacity = {b: fleet * part[b] * self.warmth(x) / whole for b, x in running.items()}
         for b, x in running.items():
@@ -446,7 +453,7 @@
         reach = [sum(capacity[b] for b in self.theta[t]) for t in tables]
         fit = max(max(w / max(c, 1e-9) for w, c in zip(wants, reach)), sum(wants) / max(sum(capacity.values()), 1e-9))
         if fit * SLACK > 1.0 and not self.strained and not self.held and not any(
-                x.load for x in self.backends.values()):
+                x.busy for x in self.backends.values()):
             # Served over 0.65 is what was asked of a backend, not what it can do. As long as nothing is slow or
             # failing, more demand (another coordinator's proxies, a start after a crash) is not turned away.
             self.fleet = (self.fleet or 1.0) * fit * SLACK
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -52,6 +52,7 @@
         return Bootstrap(
             routes=routes,
             zones=len(zones),
+            coordinators=int(info.get("groupSize", 1)),
             must_ask=info["membershipMode"] == "ask",
             ask_within=micros(rules.get("askWithin", 10)),
             admission=choice(ADMISSIONS, special["admission"], "admission"),
