--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -8,7 +8,6 @@
 
 import zlib
 from heapq import heappop, heappush
-from math import e, log
 
 TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
 TARGET = 0.65  # assumed load where none is reported
@@ -21,6 +20,7 @@
 FAILING = 0.2  # and a backend fails past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow backend is given, so that its queue shortens
 SILENT = 8  # tries that must be missing, or have failed in a row, before a backend counts as not answering
+PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
 MEMORY = 40  # answers that an answer time rests on at most
 PRIOR = 10  # answers that the average of its kind counts for
 MOST_SHUT = 0.5  # part of the capacity that may be shut out on symptoms
@@ -67,7 +67,7 @@
 
 
 class Backend:
-    __slots__ = ("state", "zone", "kind", "size", "started", "out", "served", "heard", "fails",
+    __slots__ = ("state", "zone", "kind", "size", "started", "out", "served", "heard",
                  "tries", "dropped", "took", "calls", "seen", "shut", "back", "busy", "rate", "weight")
 
     def __init__(self):
@@ -81,7 +81,7 @@
         self.served = {}  # zone -> (answered a second, smoothed; when heard)
         self.tries = self.dropped = 0.0  # smoothed sums, for the part that fails
         self.took, self.calls = 0.0, 0.0  # answer time, and how many answers it rests on
-        self.heard, self.fails, self.seen = None, 0, 0.0  # last heard; failures in a row; tries met by then
+        self.heard, self.seen = 0, 0.0  # when it last answered, and the answers of all by then
         self.shut, self.back = False, None
 
     def answering(self):
@@ -112,12 +112,13 @@
         self.theta = {}  # table -> {backend: multiplier}
         self.share = [1.0] * len(bootstrap.routes)
         self.allocated = [0.0] * len(bootstrap.routes)
-        self.due, self.next_turn, self.mark, self.met_tries = [], None, 0, 0.0
+        self.due, self.next_turn, self.mark, self.answers = [], None, 0, 0
         self.reported = None  # when the last line of a report came
         self.recompute_now = False
         self.told = Tally()
         self.fleet, self.held = None, 0.0  # calls a second that all backends can do; what they did before trouble
         self.asks = 0
+        self.dropped = 0  # when the fleet's capacity was last taken down
         self.strained = False  # the fleet is slow or failing
         self.level = 1.0  # the part of their capacity to which backends are filled
 
@@ -177,6 +178,7 @@
                 continue
             if backend.state == "gone" or started != backend.started:
                 backend.forget()
+                backend.heard, backend.seen = self.now, self.answers
             backend.state, backend.zone, backend.kind = state, zone, kind
             backend.size, backend.started = max(size, 0.01), started
         if how != "changes":
@@ -221,23 +223,21 @@
         rate, at = backend.served.get(zone, (None, 0))
         now_rate = answered * 1e6 / covers
         backend.served[zone] = (now_rate if rate is None else keep * rate + (1 - keep) * now_rate, self.now)
-        self.met_tries += tries
+        self.answers += answered
         backend.tries, backend.dropped = keep * backend.tries + tries, keep * backend.dropped + dropped
         if answered:
             backend.took = (backend.took * backend.calls + took * answered) / (backend.calls + answered)
             backend.calls = min(backend.calls + answered, MEMORY)
-            backend.fails = 0
+            backend.heard, backend.seen = self.now, self.answers
             if backend.shut:
                 backend.shut, backend.back = False, self.now
-        else:
-            backend.fails += tries
         if load and load[0] > 0.02:
             # Served rate over reported load, as a ratio of sums: a nearly idle backend's report says little.
             hold = keep ** 0.25
             backend.busy = hold * backend.busy + load[0] * self.warmth(backend)
             backend.rate = hold * backend.rate + load[1]
             backend.weight = hold * backend.weight + 1.0
-        backend.heard, backend.seen, self.reported = self.now, self.met_tries, self.now
+        self.reported = self.now
         if not backend.shut:
             self.told.tries += tries
             self.told.dropped += dropped
@@ -287,24 +287,19 @@
                 and (not r.own_zone or zone is None or x.zone == zone)]
 
     def judge(self):
-        """Shuts out what never answers: failures in a row, or silence where answers were due."""
+        """Shuts out what never answers, whether its tries fail or are not heard of at all: by the answers of the
+        others it would have given so many that chance cannot account for none."""
         if self.reported is None or self.now - self.reported > 1.5 * self.boot.cycle:
             return
         running = {b: x for b, x in self.backends.items() if x.state == "running"}
         parts = self.parts(running)
         room = MOST_SHUT * sum(x.size for x in running.values()) - sum(x.size for x in running.values() if x.shut)
-        # How many failures in a row mean something depends on how many fail everywhere.
-        common = sum(x.dropped for x in running.values()) / max(sum(x.tries for x in running.values()), 1.0)
-        enough = SILENT / -log(min(max(common, 1 / e), 0.95))
         for b, x in running.items():
-            if x.shut or x.heard is None:
-                continue
-            missing = (self.met_tries - x.seen) * parts.get(b, 0.0)
-            silent = missing > SILENT and self.now - x.heard > 2.2 * self.boot.cycle
-            if (silent or x.fails > enough) and x.size <= room:
+            missing = (self.answers - x.seen) * parts.get(b, 0.0)
+            if not x.shut and missing > SILENT and self.now - x.heard > 2.2 * self.boot.cycle and x.size <= room:
                 x.shut, x.back = True, None
                 room -= x.size
-                self.out.log(f"shut out {b}: {'silent' if silent else 'failing'}")
+                self.out.log(f"shut out {b}: no answer")
 
     def parts(self, running):
         """The part of all tries that each backend should see, by the tables as sent."""
@@ -352,10 +347,13 @@
         served = sum(x.answering() for x in running)
         slow = told.answered and told.took / told.answered > SLOW * self.slo()
         if slow or told.dropped > FAILING * told.tries:
+            # One drop, then none until its effect can have been reported: what is served while calls are turned
+            # away says nothing of what could be.
             if not self.strained:
                 self.held = (self.fleet or served) * self.level
+            if not self.strained or self.now - self.dropped >= PATIENCE * self.boot.cycle:
+                self.fleet, self.dropped = min(self.fleet or served, DRAIN * served), self.now
             self.strained = True
-            self.fleet = min(self.fleet or served, DRAIN * served)
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
@@ -450,38 +448,52 @@
                 weights.append(want * 8.0 ** ranks.index(self.boot.routes[route].importance))
         if not tables:
             return
-        reach = [sum(capacity[b] for b in self.theta[t]) for t in tables]
-        fit = max(max(w / max(c, 1e-9) for w, c in zip(wants, reach)), sum(wants) / max(sum(capacity.values()), 1e-9))
-        if fit * SLACK > 1.0 and not self.strained and not self.held and not any(
-                x.busy for x in self.backends.values()):
+        fit = self.fit(tables, wants, capacity)
+        if fit > 1.0 and not self.strained and not self.held and not any(x.busy for x in self.backends.values()):
             # Served over 0.65 is what was asked of a backend, not what it can do. As long as nothing is slow or
             # failing, more demand (another coordinator's proxies, a start after a crash) is not turned away.
-            self.fleet = (self.fleet or 1.0) * fit * SLACK
-            capacity = self.capacities()
-            fit = 1.0 / SLACK
-        level = self.level = min(1.0, fit * SLACK)
-        filled = {b: c * level for b, c in capacity.items()}
-        for _ in range(ITERATIONS):
-            rates = waterfill(wants, weights, [self.theta[t] for t in tables], filled)
-            for t, rate in zip(tables, rates):
-                total = sum(rate.values())
-                if total > 0:
-                    self.theta[t] = self.floored({b: f / total for b, f in rate.items()})
+            self.fleet = (self.fleet or 1.0) * fit
+            capacity, fit = self.capacities(), 1.0
+        grants = wants
+        if fit > 1.0:
+            # Too much for all: what each route may have, the important ones first. Its own multipliers are left
+            # alone, as a route that gets all it asks for would keep stale ones.
+            rates, _ = self.fill(tables, wants, weights, capacity)
+            grants = [sum(rate.values()) for rate in rates]
+            fit = self.fit(tables, grants, capacity)
+        # Where it goes: backends filled to a common level just above what it takes, so that each one binds and
+        # the multipliers move under light load as well.
+        level = self.level = min(1.0, fit)
+        rates, thetas = self.fill(tables, grants, grants, {b: c * level for b, c in capacity.items()})
+        self.theta.update(zip(tables, thetas))
         used = {b: sum(rate.get(b, 0.0) for rate in rates) for b in capacity}
-        granted = [0.0] * len(demands)
-        wanted = [0.0] * len(demands)
-        spare = [False] * len(demands)
-        for t, rate, want in zip(tables, rates, wants):
+        granted, wanted, spare = [0.0] * len(demands), [0.0] * len(demands), [False] * len(demands)
+        for t, rate, want, grant in zip(tables, rates, wants, grants):
             route = self.route_of(t)
-            granted[route] += sum(rate.values())
+            granted[route] += grant
             wanted[route] += want
-            spare[route] |= level < 1.0 or any(used[b] < 0.9 * capacity[b] for b in rate if capacity[b] > 0)
+            spare[route] |= any(used[b] < 0.9 * capacity[b] for b in rate if capacity[b] > 0)
         for route, want in enumerate(wanted):
             if want > 0:
                 full = spare[route] or want < 0.9 * self.allocated[route]
                 self.share[route] = 1.0 if full else min(1.0, granted[route] / want)
                 self.allocated[route] = granted[route]
 
+    def fit(self, tables, wants, capacity):
+        """The part of the capacity that the wants take, with a little slack for the multiplier loop to close on."""
+        reach = [max(sum(capacity[b] for b in self.theta[t]), 1e-9) for t in tables]
+        whole = max(sum(capacity.values()), 1e-9)
+        return SLACK * max(max(w / c for w, c in zip(wants, reach)), sum(wants) / whole)
+
+    def fill(self, tables, wants, weights, capacity):
+        """The multiplier loop around Alg. 2, from the multipliers carried over."""
+        thetas = [self.theta[t] for t in tables]
+        for _ in range(ITERATIONS):
+            rates = waterfill(wants, weights, thetas, capacity)
+            thetas = [self.floored({b: f / sum(rate.values()) for b, f in rate.items()})
+                      if sum(rate.values()) > 0 else theta for rate, theta in zip(rates, thetas)]
+        return rates, thetas
+
     @staticmethod
     def floored(theta):
         least = FLOOR / len(theta)
