The fleet's capacity follows what runs and how warm it is from the moment the list says so

Cause: in a rolling release of an overloaded fleet the capacity stayed that of warm backends, so cold ones were pushed over.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -118,6 +118,7 @@
         self.told = Tally()
         self.fleet, self.held = None, 0.0  # calls a second that all backends can do; what they did before trouble
         self.asks = 0
+        self.width = 0.0  # size of what runs, cold ones in part
         self.dropped = 0  # when the fleet's capacity was last taken down
         self.strained = False  # the fleet is slow or failing
         self.level = 1.0  # the part of their capacity to which backends are filled
@@ -402,6 +403,12 @@
                 elif x.kind == kind:
                     part[b] = x.size * (x.calls + PRIOR) / (x.calls * x.took + PRIOR * took)
         whole = sum(part[b] * self.warmth(x) for b, x in running.items()) or 1.0
+        # What the fleet can do goes with what runs and how warm it is, from this moment on.
+        width = sum(x.size * self.warmth(x) for x in running.values())
+        if self.width and self.fleet is not None:
+            self.fleet *= width / self.width
+            self.held *= width / self.width
+        self.width = width
         if stated:
             self.fleet = min(self.fleet or whole, whole)  # what is reported is not grown beyond
         fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
