--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -19,6 +19,7 @@
 SLOW = 0.5  # answers are slow past this part of the SLO time
 FAILING = 0.2  # and a backend fails past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow backend is given, so that its queue shortens
+SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
 SILENT = 8  # tries that must be missing, or have failed in a row, before a backend counts as not answering
 PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
 MEMORY = 40  # answers that an answer time rests on at most
@@ -89,10 +90,10 @@
 
 
 class Proxy:
-    __slots__ = ("zone", "typical", "usage", "bound", "owed", "cost", "sent")
+    __slots__ = ("zone", "typical", "since", "usage", "bound", "owed", "cost", "sent")
 
-    def __init__(self, zone, typical):
-        self.zone, self.typical = zone, typical
+    def __init__(self, zone, typical, now):
+        self.zone, self.typical, self.since = zone, typical, now
         self.usage = {}  # route -> (calls a second, when heard)
         self.bound = False
         self.owed = []  # (mark, lines) of messages not yet known to have arrived
@@ -191,7 +192,7 @@
     def joined(self, p, zone, typical):
         self.left(p)
         self.rebase(zone, typical)
-        self.proxies[p] = Proxy(zone, typical)
+        self.proxies[p] = Proxy(zone, typical, self.now)
 
     def left(self, p):
         proxy = self.proxies.pop(p, None)
@@ -250,9 +251,8 @@
         if proxy is None or covers <= 0 or not 0 <= route < len(self.boot.routes):
             return
         keep = 0.5 ** (covers / self.boot.cycle)
-        rate, _ = proxy.usage.get(route, (None, 0))
-        now_rate = calls * 1e6 / covers
-        proxy.usage[route] = (now_rate if rate is None else keep * rate + (1 - keep) * now_rate, self.now)
+        rate, _ = proxy.usage.get(route, (proxy.typical * self.mix()[route], 0))
+        proxy.usage[route] = (keep * rate + (1 - keep) * calls * 1e6 / covers, self.now)
         self.reported = self.now
 
     def applied(self, p, number):
@@ -337,7 +337,11 @@
     def learn(self):
         """Fleet capacity from what was served. A turn without reports teaches nothing."""
         told, self.told = self.told, Tally()
-        if not told.tries:
+        calls = sum(p.calls() for p in self.proxies.values())
+        new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < SETTLED * self.boot.cycle)
+        if not told.tries or new > 0.25 * calls:
+            # Proxies that have just come are in the demand before they are in the reports, so that a dead
+            # coordinator's proxies arriving would look like a collapse of what is served.
             return
         running = [x for x in self.backends.values() if x.state == "running"]
         for x in running:
@@ -363,6 +367,12 @@
             self.strained = False
             self.fleet = max(self.fleet * GROWTH, (self.fleet + self.held) / 2)
 
+    def mix(self):
+        """The part of each route in the calls of the proxies that have been heard."""
+        heard = [sum(p.usage.get(r, (0.0, 0))[0] for p in self.proxies.values()) for r in range(len(self.boot.routes))]
+        whole = sum(heard)
+        return [h / whole if whole else 1 / len(heard) for h in heard]
+
     def demands(self):
         """Calls a second by route. A gap in the reports leaves a figure as it was."""
         totals = [0.0] * len(self.boot.routes)
