--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -21,6 +21,7 @@
 DRAIN = 0.85  # of the served rate: what a slow backend is given, so that its queue shortens
 SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
 SILENT = 8  # tries that must be missing, or have failed in a row, before a backend counts as not answering
+ROUNDING = 0.03  # what the capped multiplier loop may leave open
 PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
 MEMORY = 40  # answers that an answer time rests on at most
 PRIOR = 10  # answers that the average of its kind counts for
@@ -112,13 +113,13 @@
         self.levels = {}  # table -> (level, tries) as sent
         self.theta = {}  # table -> {backend: multiplier}
         self.share = [1.0] * len(bootstrap.routes)
-        self.allocated = [0.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.answers = [], None, 0, 0
         self.reported = None  # when the last line of a report came
         self.recompute_now = False
         self.told = Tally()
         self.fleet, self.held = None, 0.0  # calls a second that all backends can do; what they did before trouble
         self.asks = 0
+        self.learned = 0  # when reports last taught something
         self.width = 0.0  # size of what runs, cold ones in part
         self.dropped = 0  # when the fleet's capacity was last taken down
         self.strained = False  # the fleet is slow or failing
@@ -345,10 +346,11 @@
             return
         running = [x for x in self.backends.values() if x.state == "running"]
         for x in running:
-            # A zone that met nothing for a while, while others did, has stopped sending there.
-            for zone, (rate, at) in list(x.served.items()):
-                if self.reported - at > 4 * self.boot.cycle:
+            # No try, no line: a zone that others were heard from in this turn has met nothing there.
+            for zone, (rate, at) in x.served.items():
+                if at <= self.learned:
                     x.served[zone] = (rate / 2, at)
+        self.learned = self.now
         served = sum(x.answering() for x in running)
         slow = told.answered and told.took / told.answered > SLOW * self.slo()
         if slow or told.dropped > FAILING * told.tries:
@@ -357,7 +359,8 @@
             if not self.strained:
                 self.held = (self.fleet or served) * self.level
             if not self.strained or self.now - self.dropped >= PATIENCE * self.boot.cycle:
-                self.fleet, self.dropped = min(self.fleet or served, DRAIN * served), self.now
+                fleet = self.fleet or served
+                self.fleet, self.dropped = min(fleet, max(DRAIN * served, fleet * self.level / 2)), self.now
             self.strained = True
         elif self.fleet is None:
             self.fleet = served / TARGET
@@ -483,18 +486,13 @@
         level = self.level = min(1.0, fit)
         rates, thetas = self.fill(tables, grants, grants, {b: c * level for b, c in capacity.items()})
         self.theta.update(zip(tables, thetas))
-        used = {b: sum(rate.get(b, 0.0) for rate in rates) for b in capacity}
-        granted, wanted, spare = [0.0] * len(demands), [0.0] * len(demands), [False] * len(demands)
-        for t, rate, want, grant in zip(tables, rates, wants, grants):
-            route = self.route_of(t)
-            granted[route] += grant
-            wanted[route] += want
-            spare[route] |= any(used[b] < 0.9 * capacity[b] for b in rate if capacity[b] > 0)
-        for route, want in enumerate(wanted):
-            if want > 0:
-                full = spare[route] or want < 0.9 * self.allocated[route]
-                self.share[route] = 1.0 if full else min(1.0, granted[route] / want)
-                self.allocated[route] = granted[route]
+        # Full while a usable backend is under capacity: the waterfill grants less than is wanted only where every
+        # backend that the route may use binds.
+        for route in range(len(demands)):
+            pairs = [(w, g) for t, w, g in zip(tables, wants, grants) if self.route_of(t) == route]
+            if pairs:
+                part = sum(g for _, g in pairs) / sum(w for w, _ in pairs)
+                self.share[route] = 1.0 if part > 1.0 - ROUNDING else part
 
     def fit(self, tables, wants, capacity):
         """The part of the capacity that the wants take, with a little slack for the multiplier loop to close on."""
