--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -16,7 +16,7 @@
 CHANGED = 0.1  # a line goes out when it has moved by more than this part
 ITERATIONS = 10  # of the multiplier loop
 SLACK = 1.02  # backends are filled to a common level this much above the least that holds the demand
-SLOW = 0.5  # answers are slow past this part of the SLO time
+SLOW = 0.55  # answers are slow past this part of the tightest SLO time
 FAILING = 0.2  # and a backend fails past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow backend is given, so that its queue shortens
 SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
@@ -119,6 +119,7 @@
         self.told = Tally()
         self.fleet, self.held = None, 0.0  # calls a second that all backends can do; what they did before trouble
         self.asks = 0
+        self.quickest = None  # least mean answer time of a turn: what an idle fleet takes
         self.learned = 0  # when reports last taught something
         self.width = 0.0  # size of what runs, cold ones in part
         self.dropped = 0  # when the fleet's capacity was last taken down
@@ -327,14 +328,6 @@
             part = min(part, 0.2 + 0.8 * (self.now - x.back) / (5 * self.boot.cycle))
         return part
 
-    def slo(self):
-        demands = self.demands()
-        whole = sum(demands)
-        routes = self.boot.routes
-        if whole <= 0:
-            return sum(r.slo for r in routes) / len(routes)
-        return sum(d * r.slo for d, r in zip(demands, routes)) / whole
-
     def learn(self):
         """Fleet capacity from what was served. A turn without reports teaches nothing."""
         told, self.told = self.told, Tally()
@@ -352,7 +345,9 @@
                     x.served[zone] = (rate / 2, at)
         self.learned = self.now
         served = sum(x.answering() for x in running)
-        slow = told.answered and told.took / told.answered > SLOW * self.slo()
+        took = told.took / told.answered if told.answered else 0
+        self.quickest = min(self.quickest or took, took or self.quickest or 0)
+        slow = took > max(SLOW * min(r.slo for r in self.boot.routes), 1.3 * self.quickest)
         if slow or told.dropped > FAILING * told.tries:
             # One drop, then none until its effect can have been reported: what is served while calls are turned
             # away says nothing of what could be.
