--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -244,7 +244,7 @@
         self.reported = self.now
         if not backend.shut:
             self.told.tries += tries
-            self.told.dropped += dropped
+            self.told.dropped += dropped if answered else 0  # one that never answers is judged by itself
             self.told.answered += answered
             self.told.took += answered * took
 
@@ -418,7 +418,7 @@
             self.held *= width / self.width
         self.width = width
         if stated:
-            self.fleet = min(self.fleet or whole, whole)  # what is reported is not grown beyond
+            self.fleet = min(self.fleet, whole) if self.fleet and self.held else whole  # not grown beyond the reports
         fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
         capacity = {b: fleet * part[b] * self.warmth(x) / whole for b, x in running.items()}
         for b, x in running.items():
@@ -464,11 +464,11 @@
         if not tables:
             return
         fit = self.fit(tables, wants, capacity)
-        if fit > 1.0 and not self.strained and not self.held and not any(x.busy for x in self.backends.values()):
+        if fit > 1.0 and not self.strained and not self.held:
             # Served over 0.65 is what was asked of a backend, not what it can do. As long as nothing is slow or
             # failing, more demand (another coordinator's proxies, a start after a crash) is not turned away.
-            self.fleet = (self.fleet or 1.0) * fit
-            capacity, fit = self.capacities(), 1.0
+            capacity = {b: c * fit for b, c in capacity.items()}
+            self.fleet, fit = sum(capacity.values()), 1.0
         grants = wants
         if fit > 1.0:
             # Too much for all: what each route may have, the important ones first. Its own multipliers are left
