--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -356,7 +356,8 @@
             if not self.strained or self.now - self.dropped >= PATIENCE * self.boot.cycle:
                 fleet = self.fleet or served
                 self.fleet, self.dropped = min(fleet, max(DRAIN * served, fleet * self.level / 2)), self.now
-            self.strained = True
+            # What is served now, though, can be done.
+            self.strained, self.fleet = True, max(self.fleet, DRAIN * served)
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
