--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -252,7 +252,7 @@
         proxy = self.proxies.get(p)
         if proxy is None or covers <= 0 or not 0 <= route < len(self.boot.routes):
             return
-        keep = 0.5 ** (covers / self.boot.cycle)
+        keep = 0.2 ** (covers / self.boot.cycle)
         rate, _ = proxy.usage.get(route, (proxy.typical * self.mix()[route], 0))
         proxy.usage[route] = (keep * rate + (1 - keep) * calls * 1e6 / covers, self.now)
         self.reported = self.now
