--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -515,12 +515,7 @@
     # What goes out: tables, levels, withdrawals, bindings
 
     def tries(self, route):
-        """How proxies try again: after proof that a try never ran, always; after any failure where repeats do no
-        harm (repeatable, or keyed and the wait ends within half the window) and the fleet has room for them."""
-        r = self.boot.routes[route]
-        harmless = r.effect == "repeatable" or (
-            r.effect == "keyed" and r.everywhere and 2 * self.boot.first_wait * r.slo < r.window)
-        return 2 if harmless and not self.strained and self.share[route] >= 1.0 else 1
+        return 1
 
     def quota(self, route):
         """The admitted share, or the same number of calls a second for every proxy that yields it."""
