--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -11,13 +11,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Route:
-    """One route: the calls that share an SLO time, an importance and an effect."""
+    """One route: the calls that share an SLO time, an importance and the backends they may go to."""
 
     importance: float
     slo: int
-    effect: str  # "repeatable", "keyed" (repeats dropped within `window`) or "mutating"
-    window: int  # keyed: how long repeats are dropped, from the first try that may have run
-    everywhere: bool  # keyed: every backend drops the repeats
     own_zone: bool  # open only to backends in the proxy's zone
     kinds: frozenset[int] | None  # open only to these machine kinds; None: to all
     zones: frozenset[int] | None  # open only to backends in these zones; None: in all
@@ -33,21 +30,13 @@
     must_ask: bool  # the backend list has to be asked for
     ask_within: int  # without an answer for this long, what was listed counts as known
     admission: str  # "fraction", "per_second" or "silent"
-    first_wait: float  # a try that may be followed waits this many SLO times
     cycle: int  # reports are gathered this often
     backlog: int  # lines that may wait in the channel
-    pace: float  # lines a second that the channel sends
     head: float  # lines that a message costs beside its own
-    transit: int  # longest way of a message
     messages_most: int  # messages to one proxy within `messages_over`; 0: no limit
     messages_over: int
-    grace: int  # draining backends are left within this
-    bare: int  # longest time that a proxy may lack a line
     cold: int  # a backend is warm this long after its start
     cold_from: float  # and starts at this share of its capacity or more
-    tip: float  # a cold backend falls at this multiple of its present capacity
-    slices: int  # tables are slices of the key space; 0: none
-    sole_owner: bool  # a slice has one backend at a time
 
 
 class Writer(Protocol):
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -3,7 +3,6 @@
 from cranecleat.interface import Bootstrap, Route
 
 MICRO = 1_000_000
-EFFECTS = {"idempotent": "repeatable", "deduplicated": "keyed", "at_most_once": "mutating"}
 ADMISSIONS = ("fraction", "per_second", "silent")
 SCOPES = {"patch": "changes", "whole": "whole", "stale_copy": "held", "broken": "failed"}
 STATES = {"Running": "running", "Stopping": "draining", "Deleted": "gone"}
@@ -40,9 +39,6 @@
             Route(
                 importance=float(c["credit"]),
                 slo=micros(c["goalTime"]),
-                effect=choice(EFFECTS, c["effect"], "effect"),
-                window=micros(c.get("keyTtl", 0)),
-                everywhere=c.get("group", "all") == "all",
                 own_zone=bool(own_zone[i]) if i < len(own_zone) else False,
                 kinds=indices(c.get("onlyKinds"), kinds),
                 zones=indices(c.get("onlyZones"), zones),
@@ -56,21 +52,13 @@
             must_ask=info["membershipMode"] == "ask",
             ask_within=micros(rules.get("askWithin", 10)),
             admission=choice(ADMISSIONS, special["admission"], "admission"),
-            first_wait=float(special["firstWait"]),
             cycle=micros(special["cycle"]),
             backlog=int(special["backlog"]),
-            pace=float(special["egressPerS"]),
             head=float(special["perMessage"]),
-            transit=micros(special["transitMax"]),
             messages_most=int(special.get("messagesMost", 0)),
             messages_over=micros(special.get("countedOver", 10)),
-            grace=micros(rules["stopSendingWithin"]),
-            bare=micros(special["bare"]),
             cold=micros(rules["cold"]),
             cold_from=float(rules["coldFrom"]),
-            tip=float(rules["tipMultiple"]),
-            slices=int(special.get("keyRanges", 0)),
-            sole_owner=bool(special.get("soleOwner", False)),
         )
     except KeyError as missing:
         raise Malformed(f"the start message lacks {missing.args[0]!r}") from None
@@ -111,7 +99,8 @@
     if kind == "installed":
         return ("applied", int(event["sidecar"]), int(event.get("number", 0)))
     if kind == "connected":
-        return ("joined", int(event["sidecar"]), int(event.get("failureDomain", 0)), float(event.get("share", 0)))
+        return ("joined", int(event["sidecar"]), int(event.get("failureDomain", 0)),
+                float(event.get("share", 0)))
     if kind == "droppedOff":
         return ("left", int(event["sidecar"]))
     if kind == "rosterChange":
@@ -123,17 +112,17 @@
         ]
         return ("listed", choice(SCOPES, event.get("scope", "patch"), "scope"), entries)
     if kind == "leased":
-        return ("given", int(event["routeTable"]), bool(event.get("set", False)))
+        return ("slice_given", int(event["routeTable"]), bool(event.get("set", False)))
     if kind == "recorded":
-        return ("held", int(event["routeTable"]), names(event["backend"]), float(event.get("share", 0)))
+        return ("slice_line", int(event["routeTable"]), names(event["backend"]), float(event.get("share", 0)))
     if kind == "keyLoad":
-        return ("heat", int(event["routeTable"]), int(event.get("lane", 0)), int(event.get("many", 0)),
+        return ("slice_calls", int(event["routeTable"]), int(event.get("lane", 0)), int(event.get("many", 0)),
                 micros(event.get("covers", 0)))
     if kind == "echo":
         return ("probed", names(event["backend"]), event.get("stateCode") == "done",
                 micros(event.get("costTime", 0)))
     if kind == "datagram":
-        return ("told", int(event.get("src", 0)), str(event.get("content", "")))
+        return ("peer_said", int(event.get("src", 0)), str(event.get("content", "")))
     return None
 
 
