--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -27,7 +27,7 @@
 SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
-QUIET = 2.2  # cycles without an answer from it that go with that
+QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 RETURN, RETURN_FROM = 5, 0.2  # cycles in which a backend that answers again climbs back, and from what part
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
@@ -62,20 +62,20 @@
 
 class Backend:
     __slots__ = ("state", "zone", "kind", "size", "started", "out", "busy", "rate", "heard", "served",
-                 "tries", "dropped", "took", "calls", "answered_at", "seen", "shut", "back")
+                 "tries", "dropped", "took", "calls", "answered_in", "seen", "shut", "back")
 
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
         self.out = False  # withdrawn from joined proxies
         self.forget(0, 0)
 
-    def forget(self, now, answers):
+    def forget(self, turns, answers):
         """Nothing is known of the process that runs there now."""
-        self.busy = self.rate = self.heard = 0.0  # its reports, decaying sums: cores busy, calls a second, count
+        self.busy = self.rate = self.heard = 0.0  # its reports, decaying: cores busy, calls a second, count
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
         self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
         self.took = self.calls = 0.0  # answer time, and how many answers it rests on
-        self.answered_at, self.seen = now, answers  # when it last answered, and the answers of all by then
+        self.answered_in, self.seen = turns, answers  # the turn of its last answer; all answers by then
         self.shut, self.back = False, None  # never answers; since when it does again
 
     def answering(self):
@@ -88,7 +88,7 @@
     def __init__(self, zone, typical, now):
         self.zone, self.typical, self.since = zone, typical, now
         self.usage = {}  # route -> calls a second
-        self.bound = False
+        self.bound = set()  # tables
         self.owed = []  # (mark, lines) of messages not known to have arrived
         self.cost = 0  # lines that this round has put into its message
         self.sent = []  # when messages were written, within the counted span
@@ -106,8 +106,7 @@
         self.cold = {}  # cold backend -> its part of a table, which no floor lifts
         self.share = [1.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
-        self.answers = 0  # of all backends, ever
-        self.reported = None  # when the last line of a report came
+        self.answers = self.turns = 0  # answers of all backends, and turns with reports, ever
         self.tally = [0, 0, 0, 0]  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.learned = 0  # when reports last taught something
         self.changed = False  # the list has
@@ -162,7 +161,7 @@
             x = self.backends.setdefault(b, Backend())
             if state != "gone":
                 if x.state == "gone" or started != x.started:
-                    x.forget(self.now, self.answers)
+                    x.forget(self.turns, self.answers)
                 x.zone, x.kind, x.size, x.started = zone, kind, max(size, 0.01), started
             x.state = state
         if how != "changes":
@@ -202,14 +201,14 @@
         rate = answered * 1e6 / covers
         x.served[zone] = [keep * x.served.get(zone, [rate])[0] + (1 - keep) * rate, self.now]
         x.tries, x.dropped = keep * x.tries + tries, keep * x.dropped + dropped
-        self.reported, self.answers = self.now, self.answers + answered
+        self.answers += answered
         if not x.shut:  # one that never answers is judged by itself
             line = (tries, dropped if answered else 0, answered, answered * took)
             self.tally = [sum(pair) for pair in zip(self.tally, line)]
         if answered:
             x.took = (x.took * x.calls + took * answered) / (x.calls + answered)
             x.calls = min(x.calls + answered, MEMORY)
-            x.answered_at, x.seen = self.now, self.answers
+            x.answered_in, x.seen = self.turns, self.answers
             if x.shut:
                 x.shut, x.back = False, self.now
         if load and load[0] > IDLE:
@@ -227,7 +226,6 @@
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
-        self.reported = self.now
 
     def applied(self, p, number):
         owed = self.proxies[p].owed if p in self.proxies else []
@@ -253,8 +251,9 @@
         others' answers too, so they are no evidence. Could do harm where a zone's reports alone fall
         behind: hence the cap, and a trickle (the floor) goes on, of which one answer brings a backend
         back."""
-        if self.reported is None or self.now - self.reported > 1.5 * self.boot.cycle:
+        if not self.tally[0]:
             return
+        self.turns += 1
         running, demands, due = self.running(), self.demands(), {}
         for table, lines in self.tables.items():
             total = sum(w for b, w in lines.items() if b in running)
@@ -264,7 +263,7 @@
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
         for b, x in running.items():
             missing = (self.answers - x.seen) * due.get(b, 0.0) / whole
-            quiet = self.now - x.answered_at > QUIET * self.boot.cycle
+            quiet = self.turns - x.answered_in >= QUIET
             if not x.shut and missing > SILENT and quiet and x.size <= room:
                 x.shut, room = True, room - x.size
                 self.out.log(f"backend {b} shut out: it never answers")
@@ -480,8 +479,7 @@
         return round(quota, 3)
 
     def users(self, table):
-        zone = table // len(self.boot.routes) - 1
-        return [p for p in self.proxies.values() if p.bound and zone in (-1, p.zone)]
+        return [p for p in self.proxies.values() if table in p.bound]
 
     def charge(self, proxies):
         for p in proxies:
@@ -542,16 +540,15 @@
         that waits: from then on they are under this list and these withdrawals alone."""
         for p, proxy in self.proxies.items():
             mine = [(t, route) for t, route, zone in self.layout()
-                    if t in self.tables and zone in (None, proxy.zone)]
+                    if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
             cost = sum(2 + len(self.tables[t]) for t, _ in mine)
             cost += sum(self.backends[b].out for t, _ in mine for b in self.tables[t])
-            if proxy.bound or not mine:
-                continue
-            if self.waiting() + cost + self.boot.head > URGENT * self.boot.backlog:
+            if mine and self.waiting() + cost + self.boot.head > URGENT * self.boot.backlog:
                 break
             for table, route in mine:
                 self.out.bind(p, table, (route,))
-            proxy.bound, proxy.cost = True, proxy.cost + cost
+                proxy.bound.add(table)
+            proxy.cost += cost
 
     def post(self):
         """Accounts for the messages of this round; a mark tells when they have arrived."""
--- a/cranecleat/wirehost/host.py
+++ b/cranecleat/wirehost/host.py
@@ -1,6 +1,7 @@
 """Reads batches, calls the planner of each instance concerned once, and writes the replies."""
 
 import json
+from math import isfinite
 
 from cranecleat.policy import Planner
 from cranecleat.wirehost.codec import Actions, Malformed, Names, bootstrap, decode, micros
@@ -65,7 +66,7 @@
     if not isinstance(batch, dict):
         raise Malformed("a batch must be an object")
     clock, inbox = batch.get("wall"), batch.get("inbox")
-    if isinstance(clock, bool) or not isinstance(clock, (int, float)):
+    if isinstance(clock, bool) or not isinstance(clock, (int, float)) or not isfinite(clock):
         raise Malformed("'wall' must be a number")
     if not isinstance(inbox, list):
         raise Malformed("'inbox' must be an array")
--- /dev/null
+++ b/tests/test_failures.py
@@ -0,0 +1,102 @@
+"""One scene for each failure that was met; see docs/incidents and the history."""
+
+from scene import Scene, same
+
+ALL = [0, 1, 2, 3]
+
+
+def stage(*verbs, **figures):
+    scene = Scene(verbs=verbs, **figures)
+    scene.list(*((b, "running", None) for b in ALL))
+    scene.join(1, 2, 3, 4)
+    for _ in range(3):
+        scene.second(ALL, calls=80)
+    return scene
+
+
+def test_a_silent_backend_is_shut_out_and_one_answer_brings_it_back():
+    scene = stage("line", "log")
+    scene.say("backend 3 answers nothing and no try of it is heard of")
+    for _ in range(4):
+        scene.second(ALL[:3], calls=60)
+    scene.say("a trickle went on; it answers")
+    for _ in range(3):
+        scene.second(ALL, calls=80)
+    same("silent_backend", scene)
+
+
+def test_late_reports_shut_nobody_out():
+    scene = stage("line", "log", "admit")
+    scene.say("four seconds without reports, then all at once, three lines of four")
+    for _ in range(4):
+        scene.tell(after=1.0)
+    scene.second(ALL[:3], calls=240)
+    same("late_reports", scene)
+
+
+def test_a_full_fleet_that_drops_alike_is_not_shut_out():
+    scene = stage("log")
+    for _ in range(5):
+        scene.second(ALL, calls=80, dropped=18, took=2.0)
+    same("full_fleet", scene)
+
+
+def test_overload_turns_the_least_important_away_drops_once_and_comes_back_half_way():
+    scene = stage("admit")
+    for took in (0.6, 0.9, 1.2, 0.8, 0.2, 0.2, 0.2):
+        scene.second(ALL, calls=80, took=took, came=(14, 14))
+    same("overload", scene)
+
+
+def test_levels_by_rate_are_the_same_for_every_proxy():
+    scene = stage("admit", admission="per_second")
+    for took in (0.6, 0.9):
+        scene.second(ALL, calls=80, took=took, came=(14, 14))
+    same("overload_by_rate", scene)
+
+
+def test_a_dead_coordinators_proxies_are_no_surge():
+    scene = stage("admit")
+    scene.say("four more proxies; the reports do not hold them yet")
+    scene.join(5, 6, 7, 8, after=0.1)
+    for _ in range(2):
+        scene.second(ALL, calls=80)
+    scene.second(ALL, calls=160)
+    same("arrivals", scene)
+
+
+def test_proxies_that_leave_take_their_part_along():
+    scene = stage("admit", "line")
+    scene.tell(("left", 1), ("left", 2), after=0.1)
+    for _ in range(3):
+        scene.second(ALL, calls=40)
+    scene.join(1, 2, after=0.1)
+    scene.second(ALL, calls=40)
+    same("departures", scene)
+
+
+def test_first_load_reports_do_not_stand_for_the_fleet():
+    scene = Scene(verbs=("admit", "line"))
+    scene.list(*((b, "running", None) for b in ALL))
+    scene.join(1, 2, 3, 4)
+    scene.say("one backend of four is heard")
+    scene.second(ALL[:1], calls=10, load=(0.4, 10.0))
+    scene.second(ALL[:1], calls=10, load=(0.4, 10.0))
+    scene.say("all are; one is half as able")
+    for _ in range(4):
+        scene.tell(*(("met", b, 0, 20, 0, 100_000, 1_000_000, (0.8 if b == 3 else 0.4, 20.0)) for b in ALL), after=1.0)
+    same("load_reports", scene)
+
+
+def test_nonsense_changes_nothing_and_raises_nothing():
+    scene = stage("line", "bind", "withdraw", "admit", "log")
+    scene.tell(
+        ("met", 99, 0, 5, 0, 100_000, 1_000_000, None), ("met", 0, 0, 0, 0, 0, 1_000_000, None),
+        ("met", 0, 0, 5, 0, 100_000, 0, None), ("came", 77, 0, 5, 1_000_000), ("came", 1, 9, 5, 1_000_000),
+        ("came", 1, 0, 5, 0), ("applied", 77, 1), ("applied", 1, 60_000), ("woke", 5), ("woke", 5), ("left", 77),
+        ("probed", 0, True, 5), ("peer_said", 1, "x"), ("slice_given", 0, True), ("slice_line", 0, 0, 1.0),
+        ("slice_calls", 0, 0, 1, 1_000_000), after=0.1)
+    scene.say("a second 'joined' binds anew; an entry for a backend that is gone already")
+    scene.join(1, after=0.1)
+    scene.list((50, "gone", None), how="changes", after=0.1)
+    same("nonsense", scene)
--- /dev/null
+++ b/tests/test_waterfill.py
@@ -0,0 +1,44 @@
+from dataclasses import replace
+
+from cranecleat.policy import waterfill
+from scene import BOOT, Scene, same
+
+
+def shown(rates):
+    return "  ".join(f"{k}.{e}={rate:.3f}" for k, path in enumerate(rates) for e, rate in path.items())
+
+
+def test_multipliers_close_on_the_fair_split():
+    """The paper's Fig. 7: a demand with two paths shares one of them with a demand that has no other."""
+    thetas, lines = [{"a": 0.5, "b": 0.5}, {"b": 1.0}], []
+    for turn in range(8):
+        rates = waterfill([9.0, 9.0], [1.0, 1.0], thetas, {"a": 0.5, "b": 1.0})
+        lines.append(f"{turn}: {shown(rates)}")
+        thetas = [{e: f / sum(rate.values()) for e, f in rate.items()} for rate in rates]
+    same("waterfill_fig7", lines)
+
+
+def test_small_demands_bind_at_their_own_size_and_weights_go_first():
+    even = {"a": 0.5, "b": 0.5}
+    lines = []
+    for title, wants, weights in (
+        ("both fit", [2.0, 3.0], [2.0, 3.0]),
+        ("too much, even", [8.0, 8.0], [8.0, 8.0]),
+        ("too much, the first of more weight", [8.0, 8.0], [64.0, 8.0]),
+        ("one wants nothing", [0.0, 4.0], [0.0, 4.0]),
+        ("a path of no capacity", [4.0, 4.0], [4.0, 4.0]),
+    ):
+        capacity = {"a": 5.0, "b": 0.0 if title.startswith("a path") else 5.0}
+        lines.append(f"{title}: {shown(waterfill(wants, weights, [even, even], capacity))}")
+    same("waterfill_cases", lines)
+
+
+def test_a_route_of_few_backends_moves_the_others_away():
+    """Route 1 may use backend 0 alone; under light load as well, route 0 leaves it the room."""
+    narrow = replace(BOOT.routes[1], kinds=frozenset({1}))
+    scene = Scene(verbs=("line", "admit"), routes=(BOOT.routes[0], narrow))
+    scene.tell(("listed", "whole", [(b, "running", 0, int(b == 0), 1.0, 0) for b in range(3)]))
+    scene.join(1, 2)
+    for _ in range(7):
+        scene.second([0, 1, 2], calls=42, came=(10, 10))
+    same("few_backends", scene)
