--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -24,7 +24,9 @@
 FAILING = 0.2  # and a backend or the fleet is failing past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow fleet or a failing backend is given, so that queues shorten
 PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
+WARY = 0.5  # of its part, for a cold backend in a jam where proxies pick of two
 SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
+REFUSING = 0.8  # tries a call under which proxies must be turning calls away
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
 QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
@@ -83,10 +85,11 @@
 
 
 class Proxy:
-    __slots__ = ("zone", "typical", "since", "usage", "bound", "owed", "cost", "sent")
+    __slots__ = ("zone", "typical", "since", "standing", "usage", "bound", "owed", "cost", "sent")
 
-    def __init__(self, zone, typical, now):
+    def __init__(self, zone, typical, now, standing):
         self.zone, self.typical, self.since = zone, typical, now
+        self.standing = standing  # it holds only the tables that it drew at its start
         self.usage = {}  # route -> calls a second
         self.bound = set()  # tables
         self.owed = []  # (mark, lines) of messages not known to have arrived
@@ -107,7 +110,7 @@
         self.share = [1.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.answers = self.turns = 0  # answers of all backends, and turns with reports, ever
-        self.tally = [0, 0, 0, 0]  # of one turn's reports: tries, dropped, answered, time taken by answers
+        self.tally = [0] * 5  # of one turn's reports: tries, dropped, answered, time taken by answers, calls
         self.learned = 0  # when reports last taught something
         self.changed = False  # the list has
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
@@ -169,9 +172,9 @@
             for b, x in self.backends.items():
                 x.state = x.state if b in present else "gone"
 
-    def joined(self, p, zone, typical):
+    def joined(self, p, zone, typical, standing):
         self.left(p)
-        self.proxies[p] = Proxy(zone, typical, self.now)
+        self.proxies[p] = Proxy(zone, typical, self.now, standing)
         self.rebase(zone, typical)
 
     def left(self, p):
@@ -203,7 +206,7 @@
         x.tries, x.dropped = keep * x.tries + tries, keep * x.dropped + dropped
         self.answers += answered
         if not x.shut:  # one that never answers is judged by itself
-            line = (tries, dropped if answered else 0, answered, answered * took)
+            line = (tries, dropped if answered else 0, answered, answered * took, 0)
             self.tally = [sum(pair) for pair in zip(self.tally, line)]
         if answered:
             x.took = (x.took * x.calls + took * answered) / (x.calls + answered)
@@ -226,6 +229,7 @@
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
+        self.tally[4] += calls
 
     def applied(self, p, number):
         owed = self.proxies[p].owed if p in self.proxies else []
@@ -293,7 +297,7 @@
 
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
-        (tries, dropped, answered, taken), self.tally = self.tally, [0, 0, 0, 0]
+        (tries, dropped, answered, taken, calls), self.tally = self.tally, [0] * 5
         new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < SETTLED * self.boot.cycle)
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
             # Proxies that have just come are in the demand before they are in the reports: arrivals from a
@@ -318,7 +322,11 @@
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
             self.strained, self.fleet = True, max(fleet, DRAIN * served)
         elif self.fleet is None:
-            self.fleet = served / TARGET
+            # After a crash, proxies that turn calls away by older levels tell that the fleet was full
+            # already.
+            full = tries < REFUSING * calls and not any(p.standing for p in self.proxies.values())
+            self.fleet = served if full else served / TARGET
+            self.before = served if full else 0.0
         else:
             # Half of the way back to what was carried before the trouble, which may have been a passing one
             # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground.
@@ -349,6 +357,11 @@
                 elif x.kind == kind:
                     took_here = (x.calls * x.took + PRIOR * took) / (x.calls + PRIOR)
                     part[b] = self.warmth(x) * x.size / max(took_here, 1e-9)
+                wary = self.strained and self.boot.pick_of_two and self.now - x.started < self.boot.cold
+                if x.kind == kind and x.started and wary:
+                    # Rule 4: of two drawn, the one that refuses faster has less outstanding and is picked:
+                    # in a jam a full cold backend draws up to twice its part.
+                    part[b] *= WARY
         whole = sum(part.values()) or 1.0
         # What the fleet can do goes with what runs and how warm it is, from this moment on: in a rolling
         # release of a full fleet, calls have to be turned away before the cold ones are pushed over.
@@ -538,7 +551,14 @@
     def join(self):
         """Binds proxies to the shared tables, those that come with older ones included, before all else
         that waits: from then on they are under this list and these withdrawals alone."""
+        out = sum(x.out for x in self.backends.values())
         for p, proxy in self.proxies.items():
+            if (not proxy.standing and self.fleet is None and self.now - proxy.since < PATIENCE * self.boot.cycle
+                    and out < len(self.backends) / 2):
+                # Knowing nothing (a start after a crash), what a coordinator that knew has laid is better
+                # than what this one would, levels included. Withdrawals hold for it; not where they may
+                # have left it bare.
+                continue
             mine = [(t, route) for t, route, zone in self.layout()
                     if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
             cost = sum(2 + len(self.tables[t]) for t, _ in mine)
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -52,6 +52,7 @@
             must_ask=info["membershipMode"] == "ask",
             ask_within=micros(rules.get("askWithin", 10)),
             admission=choice(ADMISSIONS, special["admission"], "admission"),
+            pick_of_two=special.get("lbMethod") == "p2c",
             cycle=micros(special["cycle"]),
             backlog=int(special["backlog"]),
             head=float(special["perMessage"]),
@@ -100,7 +101,7 @@
         return ("applied", int(event["sidecar"]), int(event.get("number", 0)))
     if kind == "connected":
         return ("joined", int(event["sidecar"]), int(event.get("failureDomain", 0)),
-                float(event.get("share", 0)))
+                float(event.get("share", 0)), bool(event.get("set", False)))
     if kind == "droppedOff":
         return ("left", int(event["sidecar"]))
     if kind == "rosterChange":
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -13,7 +13,7 @@
 SECOND = 1_000_000
 ROUTES = (Route(3.0, SECOND, False, None, None), Route(1.0, SECOND, False, None, None))
 BOOT = Bootstrap(routes=ROUTES, zones=2, coordinators=1, must_ask=False, ask_within=10 * SECOND,
-                 admission="fraction", cycle=SECOND, backlog=1000, head=10.0, messages_most=0,
+                 admission="fraction", pick_of_two=True, cycle=SECOND, backlog=1000, head=10.0, messages_most=0,
                  messages_over=10 * SECOND, cold=20 * SECOND, cold_from=0.2)
 
 
@@ -52,7 +52,7 @@
                                    for b, state, age in entries]), after=after)
 
     def join(self, *proxies, typical=20.0, after=0.0):
-        self.tell(*(("joined", p, 0, typical) for p in proxies), after=after)
+        self.tell(*(("joined", p, 0, typical, True) for p in proxies), after=after)
 
     def second(self, backends, calls=40, took=0.1, dropped=0, load=None, came=(10, 10)):
         """A second goes by: each backend met its share of `calls`; each proxy met `came` by route."""
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -101,14 +101,18 @@
     own = replace(BOOT.routes[1], own_zone=True)
     scene = Scene(verbs=("line", "bind"), routes=(BOOT.routes[0], own))
     scene.tell(("listed", "whole", [(b, "running", b % 2, 0, 1.0, 0) for b in range(3)]))
-    scene.tell(("joined", 1, 0, 5.0), ("joined", 2, 1, 5.0))
+    scene.tell(("joined", 1, 0, 5.0, True), ("joined", 2, 1, 5.0, True))
     same("own_zone", scene)
 
 
 def test_stale_list_and_old_tables_after_a_crash():
     scene = Scene(verbs=("line", "bind", "withdraw", "admit"))
-    scene.tell(("listed", "held", [(b, "running", 0, 0, 1.0, 0) for b in range(2)]))
-    scene.join(5, after=0.2)
+    scene.tell(("listed", "held", [(b, "running", 0, 0, 1.0, 0) for b in range(3)]))
+    scene.say("it comes with tables of a coordinator that knew more: they stay until something is learned")
+    scene.tell(("joined", 5, 0, 20.0, False), after=0.2)
     scene.say("the list as it is now: one has gone, one came seconds ago")
-    scene.list((0, "running", None), (2, "running", 4.0), after=1.0)
+    scene.list((0, "running", None), (1, "running", None), (3, "running", 4.0), after=0.5)
+    scene.say("half of the calls were turned away by the older levels: the fleet was full already")
+    for _ in range(4):
+        scene.second([0, 1], calls=20, came=(20, 20))
     same("after_a_crash", scene)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -43,7 +43,7 @@
 def test_instances_share_nothing_and_a_fault_is_one_instances_own():
     lame = {**INFO, "specifics": {"admission": "fraction", "cycle": 1.0}}
     same("wire_faults", play((5.0, start("coordinator/1", lame) + start("coordinator/2")),
-                             (5.5, [event("connected", "coordinator/2", sidecar=1)])))
+                             (5.5, [event("connected", "coordinator/2", sidecar=1, set=True)])))
 
 
 def test_lines_that_are_no_batch():
