--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -30,6 +30,7 @@
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
 QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
+HEADSTART = -2  # such turns that a new process is given, as its line and its first reports are on their way
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 RETURN, RETURN_FROM = 5, 0.2  # cycles in which a backend that answers again climbs back, and from what part
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
@@ -64,20 +65,20 @@
 
 class Backend:
     __slots__ = ("state", "zone", "kind", "size", "started", "out", "busy", "rate", "heard", "served",
-                 "tries", "dropped", "took", "calls", "answered_in", "seen", "shut", "back")
+                 "tries", "dropped", "took", "calls", "quiet", "missing", "shut", "back")
 
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
         self.out = False  # withdrawn from joined proxies
-        self.forget(0, 0)
+        self.forget()
 
-    def forget(self, turns, answers):
+    def forget(self):
         """Nothing is known of the process that runs there now."""
         self.busy = self.rate = self.heard = 0.0  # its reports, decaying: cores busy, calls a second, count
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
         self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
         self.took = self.calls = 0.0  # answer time, and how many answers it rests on
-        self.answered_in, self.seen = turns, answers  # the turn of its last answer; all answers by then
+        self.quiet, self.missing = HEADSTART, 0.0  # turns with reports since its last answer; answers due by now
         self.shut, self.back = False, None  # never answers; since when it does again
 
     def answering(self):
@@ -109,7 +110,6 @@
         self.cold = {}  # cold backend -> its part of a table, which no floor lifts
         self.share = [1.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
-        self.answers = self.turns = 0  # answers of all backends, and turns with reports, ever
         self.tally = [0] * 5  # of one turn's reports: tries, dropped, answered, time taken by answers, calls
         self.learned = 0  # when reports last taught something
         self.changed = False  # the list has
@@ -164,7 +164,7 @@
             x = self.backends.setdefault(b, Backend())
             if state != "gone":
                 if x.state == "gone" or started != x.started:
-                    x.forget(self.turns, self.answers)
+                    x.forget()
                 x.zone, x.kind, x.size, x.started = zone, kind, max(size, 0.01), started
             x.state = state
         if how != "changes":
@@ -204,14 +204,13 @@
         rate = answered * 1e6 / covers
         x.served[zone] = [keep * x.served.get(zone, [rate])[0] + (1 - keep) * rate, self.now]
         x.tries, x.dropped = keep * x.tries + tries, keep * x.dropped + dropped
-        self.answers += answered
         if not x.shut:  # one that never answers is judged by itself
             line = (tries, dropped if answered else 0, answered, answered * took, 0)
             self.tally = [sum(pair) for pair in zip(self.tally, line)]
         if answered:
             x.took = (x.took * x.calls + took * answered) / (x.calls + answered)
             x.calls = min(x.calls + answered, MEMORY)
-            x.answered_in, x.seen = self.turns, self.answers
+            x.quiet, x.missing = 0, 0.0
             if x.shut:
                 x.shut, x.back = False, self.now
         if load and load[0] > IDLE:
@@ -257,18 +256,18 @@
         back."""
         if not self.tally[0]:
             return
-        self.turns += 1
         running, demands, due = self.running(), self.demands(), {}
         for table, lines in self.tables.items():
             total = sum(w for b, w in lines.items() if b in running)
             for b, w in lines.items():
                 due[b] = due.get(b, 0.0) + demands[self.route_of(table)] * w / max(total, 1e-9)
         whole = sum(due[b] for b in due if b in running) or 1.0
+        bound = sum(bool(p.bound) for p in self.proxies.values()) / max(len(self.proxies), 1)
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
         for b, x in running.items():
-            missing = (self.answers - x.seen) * due.get(b, 0.0) / whole
-            quiet = self.turns - x.answered_in >= QUIET
-            if not x.shut and missing > SILENT and quiet and x.size <= room:
+            x.quiet += 1
+            x.missing += self.tally[2] * bound * due.get(b, 0.0) / whole if x.quiet > 0 else 0.0
+            if not x.shut and x.missing > SILENT and x.quiet >= QUIET and x.size <= room:
                 x.shut, room = True, room - x.size
                 self.out.log(f"backend {b} shut out: it never answers")
 
