--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -34,7 +34,6 @@
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 RETURN, RETURN_FROM = 5, 0.2  # cycles in which a backend that answers again climbs back, and from what part
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
-TOLD = 3  # load reports a backend from which on the fleet's capacity is known
 IDLE = 0.02  # a reported load under this says nothing of the capacity
 FULL = 1e6  # calls a second at each proxy: no limit
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
@@ -418,8 +417,7 @@
         if not wants:
             return
         fit = self.fit(wants, capacity)
-        told = sum(x.heard for x in self.running().values()) > TOLD * len(capacity)
-        if fit > 1.0 and not self.strained and not self.before and not told:
+        if fit > 1.0 and not self.strained and not self.before:
             # Served over 0.65 is what was asked of the fleet, not what it can do. As long as nothing has
             # been slow or failing, more demand (a start after a crash, first reports that are partial) is
             # not turned away.
