--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -309,7 +309,9 @@
                 # No try, no line: others were heard from in this turn, so that zone has met nothing there.
                 known[0] *= 0.5 if known[1] <= self.learned else 1.0
         self.learned, served = self.now, sum(x.answering() for x in running)
-        slow = answered and taken / answered > SLOW * min(r.slo for r in self.boot.routes)
+        took = taken / answered if answered else 0.0
+        slow_at = SLOW * min(r.slo for r in self.boot.routes)
+        slow = took > slow_at
         if slow or dropped > FAILING * tries:
             # Drops to the served rate, once, then not until the effect can have been reported: what is
             # served while calls are turned away says nothing of what could be. What is served now, though,
@@ -324,12 +326,15 @@
             # After a crash, proxies that turn calls away by older levels tell that the fleet was full
             # already.
             full = tries < REFUSING * calls and not any(p.standing for p in self.proxies.values())
-            self.fleet = served if full else served / TARGET
-            self.before = served if full else 0.0
+            carried = max(served, sum(self.demands()) * answered / max(calls, 1))
+            self.fleet = carried if full else served / TARGET
+            self.before = carried if full else 0.0
         else:
             # Half of the way back to what was carried before the trouble, which may have been a passing one
-            # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground.
-            growth = GROWTH if self.level > ENOUGH else 1.0
+            # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground, and by more
+            # the further answers are from slow: an idle fleet that turns calls away must not wait.
+            clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
+            growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
 
     def stated(self, x):
