Backends of a zone whose proxies have all left need a third of the proof to be shut out

Cause: a zone cut breaks the streams of its proxies half a second before missing answers can tell. Told from a dead coordinator's or a crash's departures by their all being of one zone, and still by missing answers.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -31,6 +31,7 @@
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
 QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
 HEADSTART = -2  # such turns that a new process is given, as its line and its first reports are on their way
+EAGER, PARTED = 0.33, 5  # part of that proof for backends of a zone whose proxies have all left, for so many cycles
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 RETURN, RETURN_FROM = 5, 0.2  # cycles in which a backend that answers again climbs back, and from what part
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
@@ -113,6 +114,7 @@
         self.tally = [0] * 5  # of one turn's reports: tries, dropped, answered, time taken by answers, calls
         self.learned = 0  # when reports last taught something
         self.changed = False  # the list has
+        self.parted = {}  # zone -> when a proxy of it last left
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
         self.width = 0.0  # size of what runs, cold ones in part
         self.strained, self.dropped_at = False, 0  # the fleet is slow or failing; its capacity's last drop
@@ -180,6 +182,7 @@
     def left(self, p):
         proxy = self.proxies.pop(p, None)
         if proxy:
+            self.parted[proxy.zone] = self.now
             self.rebase(proxy.zone, -proxy.calls())
 
     def rebase(self, zone, change):
@@ -263,11 +266,18 @@
                 due[b] = due.get(b, 0.0) + demands[self.route_of(table)] * w / max(total, 1e-9)
         whole = sum(due[b] for b in due if b in running) or 1.0
         bound = sum(bool(p.bound) for p in self.proxies.values()) / max(len(self.proxies), 1)
+        # A zone whose proxies have all left at a time when others stay may be cut off: its backends need
+        # less proof.
+        here = {p.zone for p in self.proxies.values()}
+        cut = {zone for zone, at in self.parted.items()
+               if here and zone not in here and self.now - at < PARTED * self.boot.cycle}
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
         for b, x in running.items():
             x.quiet += 1
             x.missing += self.tally[2] * bound * due.get(b, 0.0) / whole if x.quiet > 0 else 0.0
-            if not x.shut and x.missing > SILENT and x.quiet >= QUIET and x.size <= room:
+            eager = EAGER if x.zone in cut else 1.0
+            enough = x.missing > SILENT * eager and x.quiet >= QUIET * eager
+            if not x.shut and enough and x.size <= room:
                 x.shut, room = True, room - x.size
                 self.out.log(f"backend {b} shut out: it never answers")
 
@@ -331,8 +341,8 @@
             self.before = carried if full else 0.0
         else:
             # Half of the way back to what was carried before the trouble, which may have been a passing one
-            # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground, and by more
-            # the further answers are from slow: an idle fleet that turns calls away must not wait.
+            # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground, and
+            # by more the further answers are from slow: an idle fleet that turns calls away must not wait.
             clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
             growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
