--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -31,7 +31,7 @@
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
 QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
 HEADSTART = -2  # such turns that a new process is given, as its line and its first reports are on their way
-EAGER, PARTED = 0.33, 5  # part of that proof for backends of a zone whose proxies have all left, for so many cycles
+EAGER, PARTED = 0.33, 5  # part of that proof where all proxies of a zone have left, and for how many cycles
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 RETURN, RETURN_FROM = 5, 0.2  # cycles in which a backend that answers again climbs back, and from what part
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
@@ -79,7 +79,7 @@
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
         self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
         self.took = self.calls = 0.0  # answer time, and how many answers it rests on
-        self.quiet, self.missing = HEADSTART, 0.0  # turns with reports since its last answer; answers due by now
+        self.quiet, self.missing = HEADSTART, 0.0  # since its last answer: turns with reports, answers due
         self.shut, self.back = False, None  # never answers; since when it does again
 
     def answering(self):
@@ -567,8 +567,8 @@
         that waits: from then on they are under this list and these withdrawals alone."""
         out = sum(x.out for x in self.backends.values())
         for p, proxy in self.proxies.items():
-            if (not proxy.standing and self.fleet is None and self.now - proxy.since < PATIENCE * self.boot.cycle
-                    and out < len(self.backends) / 2):
+            early = self.now - proxy.since < PATIENCE * self.boot.cycle
+            if not proxy.standing and self.fleet is None and early and out < len(self.backends) / 2:
                 # Knowing nothing (a start after a crash), what a coordinator that knew has laid is better
                 # than what this one would, levels included. Withdrawals hold for it; not where they may
                 # have left it bare.
