--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -21,6 +21,7 @@
 SLACK = 1.02  # backends are filled to a common level this much above the least that holds the demand
 PRECEDENCE = 8.0  # weight of a route over the next less important one
 SLOW = 0.55  # the fleet is slow past this part of the tightest SLO time
+ENOUGH_TRIES = 4  # under which a backend is not said to fail
 FAILING = 0.2  # and a backend or the fleet is failing past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow fleet or a failing backend is given, so that queues shorten
 PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
@@ -108,7 +109,7 @@
         self.backends, self.proxies = {}, {}
         self.tables, self.levels = {}, {}  # table -> {backend: weight}, table -> level: as sent
         self.theta = {}  # table -> {backend: multiplier}
-        self.cold = {}  # cold backend -> its part of a table, which no floor lifts
+        self.cold = {}  # cold backend -> its part of the fleet, which no floor lifts
         self.share = [1.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.tally = [0] * 5  # of one turn's reports: tries, dropped, answered, time taken by answers, calls
@@ -315,6 +316,8 @@
             return
         running = self.running().values()
         for x in running:
+            if all(at <= self.learned for _, at in x.served.values()):
+                x.tries, x.dropped = x.tries / 2, x.dropped / 2
             for zone, known in x.served.items():
                 # No try, no line: others were heard from in this turn, so that zone has met nothing there.
                 known[0] *= 0.5 if known[1] <= self.learned else 1.0
@@ -388,8 +391,9 @@
             self.fleet = min(self.fleet, whole) if self.fleet and self.before else whole
         fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
         capacity = {b: 0.0 if x.shut else fleet * part[b] / whole for b, x in running.items()}
+        self.cold = {b: part[b] / whole for b, x in running.items() if self.warmth(x) < 1.0 and not x.shut}
         for b, x in running.items():
-            if x.dropped > FAILING * x.tries:
+            if x.dropped > FAILING * x.tries and x.tries > ENOUGH_TRIES:
                 capacity[b] = min(capacity[b], DRAIN * x.answering() / self.level)
         return capacity
 
@@ -415,15 +419,12 @@
         ranks = sorted({r.importance for r in self.boot.routes})
         typical = sum(p.typical for p in self.proxies.values()) or 1.0
         wants, weights = {}, {}
-        self.cold = {}
         for table, route, zone in self.layout():
             paths = self.paths(route, zone)
             old, whole = self.theta.pop(table, {}), sum(capacity[b] for b in paths)
             if not paths:
                 continue
             parts = {b: capacity[b] / whole if whole > 0 else 1 / len(paths) for b in paths}
-            self.cold.update((b, parts[b]) for b in paths
-                             if self.warmth(self.backends[b]) < 1.0 and not self.backends[b].shut)
             self.theta[table] = self.floored({b: old.get(b, parts[b]) for b in paths})
             here = sum(p.typical for p in self.proxies.values() if zone in (None, p.zone)) / typical
             if demands[route] * here > 0:  # a route without usage keeps its multipliers and a full share
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -38,6 +38,16 @@
     same("zone_cut", scene)
 
 
+def test_a_cold_backend_whose_first_try_fails_is_not_starved():
+    scene = stage("line")
+    scene.list((9, "running", 0.5), how="changes", after=0.1)
+    scene.say("one try, dropped")
+    scene.tell(("met", 9, 0, 1, 1, 0, 1_000_000, None), after=0.9)
+    for _ in range(3):
+        scene.second(ALL, calls=80)
+    same("cold_first_try", scene)
+
+
 def test_late_reports_shut_nobody_out():
     scene = stage("line", "log", "admit")
     scene.say("four seconds without reports, then all at once, three lines of four")
