--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -331,7 +331,7 @@
             # can be done.
             fleet = self.fleet or served
             if not self.strained:
-                self.before = (fleet * self.level + served) / 2
+                self.before = fleet * self.level
             if not self.strained or self.now - self.dropped_at >= PATIENCE * self.boot.cycle:
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
             self.strained, self.fleet = True, max(fleet, DRAIN * served)
