--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -30,7 +30,6 @@
     must_ask: bool  # the backend list has to be asked for
     ask_within: int  # without an answer for this long, what was listed counts as known
     admission: str  # "fraction", "per_second" or "silent"
-    pick_of_two: bool  # proxies draw two lines and pick the one with less of their own calls out
     cycle: int  # reports are gathered this often
     backlog: int  # lines that may wait in the channel
     head: float  # lines that a message costs beside its own
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -15,9 +15,8 @@
 ENOUGH = 0.25  # capacity of which less than this is used is not grown further
 FLOOR = 0.1  # least multiplier, in even shares
 CHANGED = 0.1  # a line goes out when it has moved by more than this part
-FINE = 0.03  # and a level when it has moved by more than this
+FINE = 0.03  # and a level by more than this, which is also what the capped loop may leave open
 ITERATIONS = 10  # of the multiplier loop
-ROUNDING = 0.03  # what the capped loop may leave open
 SLACK = 1.02  # backends are filled to a common level this much above the least that holds the demand
 PRECEDENCE = 8.0  # weight of a route over the next less important one
 SLOW = 0.55  # the fleet is slow past this part of the tightest SLO time
@@ -25,7 +24,7 @@
 FAILING = 0.2  # and a backend or the fleet is failing past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow fleet or a failing backend is given, so that queues shorten
 PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
-WARY = 0.5  # of its part, for a cold backend in a jam where proxies pick of two
+AGAIN = 0.4  # part of the refused calls that come again, before it is learned
 SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
 REFUSING = 0.8  # tries a call under which proxies must be turning calls away
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
@@ -111,6 +110,9 @@
         self.theta = {}  # table -> {backend: multiplier}
         self.cold = {}  # cold backend -> its part of the fleet, which no floor lifts
         self.share = [1.0] * len(bootstrap.routes)
+        self.shares = [self.share] * 3  # of the last turns, the oldest first: the one that reports show
+        self.granted, self.calm = [0.0] * len(bootstrap.routes), [None] * len(bootstrap.routes)
+        self.again = [AGAIN] * len(bootstrap.routes)  # part of the refused calls that come again
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.tally = [0] * 5  # of one turn's reports: tries, dropped, answered, time taken by answers, calls
         self.learned = 0  # when reports last taught something
@@ -136,6 +138,7 @@
         if turn:
             self.judge()
             self.learn()
+            self.learn_again()
         if turn or self.changed:
             self.decide()
             self.push(turn)
@@ -305,6 +308,24 @@
         heard, mute = sum(totals), sum(p.typical for p in self.proxies.values() if not p.usage)
         return [t + mute * (t / heard if heard else 1 / n) for t in totals]
 
+    def first_tries(self):
+        """Demand without the calls that come again because they were refused. What comes again is learned
+        from the demand before trouble; without it the way back from a jam lags by as long as reports and
+        orders take."""
+        return [d * (1.0 - again * (1.0 - share)) for d, again, share
+                in zip(self.demands(), self.again, self.shares[0])]
+
+    def learn_again(self):
+        """How many refused calls come again, by route: against the demand while all was let in."""
+        for route, demand in enumerate(self.demands()):
+            share = self.shares[0][route]
+            if min(s[route] for s in self.shares) >= 1.0:
+                self.calm[route] = demand if self.calm[route] is None else (self.calm[route] + demand) / 2
+            elif share < 0.8 and self.calm[route] and demand > 0:
+                seen = min(max((1.0 - self.calm[route] / demand) / (1.0 - share), 0.0), 0.75)
+                self.again[route] += (seen - self.again[route]) / 4
+        self.shares = [*self.shares[1:], list(self.share)]
+
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
         (tries, dropped, answered, taken, calls), self.tally = self.tally, [0] * 5
@@ -336,8 +357,7 @@
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
             self.strained, self.fleet = True, max(fleet, DRAIN * served)
         elif self.fleet is None:
-            # After a crash, proxies that turn calls away by older levels tell that the fleet was full
-            # already.
+            # After a crash, proxies that turn calls away by older levels tell that the fleet was full.
             full = tries < REFUSING * calls and not any(p.standing for p in self.proxies.values())
             carried = max(served, sum(self.demands()) * answered / max(calls, 1))
             self.fleet = carried if full else served / TARGET
@@ -374,11 +394,6 @@
                 elif x.kind == kind:
                     took_here = (x.calls * x.took + PRIOR * took) / (x.calls + PRIOR)
                     part[b] = self.warmth(x) * x.size / max(took_here, 1e-9)
-                wary = self.strained and self.boot.pick_of_two and self.now - x.started < self.boot.cold
-                if x.kind == kind and x.started and wary:
-                    # Rule 4: of two drawn, the one that refuses faster has less outstanding and is picked:
-                    # in a jam a full cold backend draws up to twice its part.
-                    part[b] *= WARY
         whole = sum(part.values()) or 1.0
         # What the fleet can do goes with what runs and how warm it is, from this moment on: in a rolling
         # release of a full fleet, calls have to be turned away before the cold ones are pushed over.
@@ -415,7 +430,7 @@
                 and (r.zones is None or x.zone in r.zones) and zone in (None, x.zone)]
 
     def decide(self):
-        demands, capacity = self.demands(), self.capacities()
+        demands, capacity = self.first_tries(), self.capacities()
         ranks = sorted({r.importance for r in self.boot.routes})
         typical = sum(p.typical for p in self.proxies.values()) or 1.0
         wants, weights = {}, {}
@@ -458,7 +473,11 @@
             mine = [t for t in wants if self.route_of(t) == route]
             if mine:
                 part = sum(grants[t] for t in mine) / sum(wants[t] for t in mine)
-                self.share[route] = 1.0 if part > 1.0 - ROUNDING else part
+                # Allocation over the demand that will come at that share: the more is let in, the less
+                # comes again.
+                again = self.again[route]
+                self.granted[route] = sum(grants[t] for t in mine)
+                self.share[route] = 1.0 if part > 1.0 - FINE else part * (1 - again) / (1 - again * part)
 
     def fit(self, wants, capacity):
         """The part of the capacity that the wants take, with a little slack for the multiplier loop to
@@ -498,7 +517,7 @@
         rates = sorted(p.usage.get(route, 0.0) if p.usage else p.typical * mix for p in self.proxies.values())
         if self.share[route] >= 1.0 or not rates:
             return FULL
-        left, quota = self.share[route] * sum(rates), 0.0
+        left, quota = min(self.granted[route], sum(rates)), 0.0
         for i, rate in enumerate(rates):
             quota = left / (len(rates) - i)
             if rate >= quota:
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -52,7 +52,6 @@
             must_ask=info["membershipMode"] == "ask",
             ask_within=micros(rules.get("askWithin", 10)),
             admission=choice(ADMISSIONS, special["admission"], "admission"),
-            pick_of_two=special.get("lbMethod") == "p2c",
             cycle=micros(special["cycle"]),
             backlog=int(special["backlog"]),
             head=float(special["perMessage"]),
