--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -517,7 +517,7 @@
         rates = sorted(p.usage.get(route, 0.0) if p.usage else p.typical * mix for p in self.proxies.values())
         if self.share[route] >= 1.0 or not rates:
             return FULL
-        left, quota = self.share[route] * sum(rates), 0.0
+        left, quota = min(self.granted[route], sum(rates)), 0.0
         for i, rate in enumerate(rates):
             quota = left / (len(rates) - i)
             if rate >= quota:
