The calm demand moves with the proxies that join and leave

Cause: a dead coordinator's proxies arriving doubled the demand against the calm one, and all of it was taken for calls that come again.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -65,9 +65,6 @@
 
 
 class Backend:
-    __slots__ = ("state", "zone", "kind", "size", "started", "out", "busy", "rate", "heard", "served",
-                 "tries", "dropped", "took", "calls", "quiet", "missing", "shut", "back")
-
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
         self.out = False  # withdrawn from joined proxies
@@ -87,8 +84,6 @@
 
 
 class Proxy:
-    __slots__ = ("zone", "typical", "since", "standing", "usage", "bound", "owed", "cost", "sent")
-
     def __init__(self, zone, typical, now, standing):
         self.zone, self.typical, self.since = zone, typical, now
         self.standing = standing  # it holds only the tables that it drew at its start
@@ -110,8 +105,8 @@
         self.theta = {}  # table -> {backend: multiplier}
         self.cold = {}  # cold backend -> its part of the fleet, which no floor lifts
         self.share = [1.0] * len(bootstrap.routes)
-        self.shares = [self.share] * 3  # of the last turns, the oldest first: the one that reports show
-        self.granted, self.calm = [0.0] * len(bootstrap.routes), [None] * len(bootstrap.routes)
+        self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
+        self.granted, self.calm = [0.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.again = [AGAIN] * len(bootstrap.routes)  # part of the refused calls that come again
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.tally = [0] * 5  # of one turn's reports: tries, dropped, answered, time taken by answers, calls
@@ -195,9 +190,10 @@
         like a lull. Could do harm if the typical rates that proxies state were far off; the next reports
         then correct it."""
         whole = sum(p.calls() for p in self.proxies.values())
-        if whole > 0 and whole > change and self.fleet is not None:
-            self.fleet *= whole / (whole - change)
-            self.before *= whole / (whole - change)
+        if whole > 0 and whole > change:
+            part = whole / (whole - change)
+            self.fleet, self.before = self.fleet and self.fleet * part, self.before * part
+            self.calm = [calm * part for calm in self.calm]
         zoned = sum(p.calls() for p in self.proxies.values() if p.zone == zone)
         for x in self.backends.values():
             if zone in x.served and zoned > change:
@@ -320,7 +316,7 @@
         for route, demand in enumerate(self.demands()):
             share = self.shares[0][route]
             if min(s[route] for s in self.shares) >= 1.0:
-                self.calm[route] = demand if self.calm[route] is None else (self.calm[route] + demand) / 2
+                self.calm[route] = (self.calm[route] + demand) / 2 if self.calm[route] else demand
             elif share < 0.8 and self.calm[route] and demand > 0:
                 seen = min(max((1.0 - self.calm[route] / demand) / (1.0 - share), 0.0), 0.75)
                 self.again[route] += (seen - self.again[route]) / 4
