--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -33,7 +33,6 @@
 HEADSTART = -2  # such turns that a new process is given, as its line and its first reports are on their way
 EAGER, PARTED = 0.33, 5  # part of that proof where all proxies of a zone have left, and for how many cycles
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
-RETURN, RETURN_FROM = 5, 0.2  # cycles in which a backend that answers again climbs back, and from what part
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
 IDLE = 0.02  # a reported load under this says nothing of the capacity
 FULL = 1e6  # calls a second at each proxy: no limit
@@ -77,7 +76,7 @@
         self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
         self.took = self.calls = 0.0  # answer time, and how many answers it rests on
         self.quiet, self.missing = HEADSTART, 0.0  # since its last answer: turns with reports, answers due
-        self.shut, self.back = False, None  # never answers; since when it does again
+        self.shut = False  # it never answers
 
     def answering(self):
         return sum(rate for rate, _ in self.served.values())
@@ -214,8 +213,7 @@
             x.took = (x.took * x.calls + took * answered) / (x.calls + answered)
             x.calls = min(x.calls + answered, MEMORY)
             x.quiet, x.missing = 0, 0.0
-            if x.shut:
-                x.shut, x.back = False, self.now
+            x.shut = False
         if load and load[0] > IDLE:
             # Served rate over reported load, as a ratio of sums: a nearly idle backend's report says little.
             hold = keep ** 0.25
@@ -282,16 +280,13 @@
                 self.out.log(f"backend {b} shut out: it never answers")
 
     def warmth(self, x):
-        """The part of a backend's capacity that can be counted on while it is cold or just back. The least
+        """The part of a backend's capacity that can be counted on while it is cold. The least
         that rule 4 states for its age, so that all proxies together stay well under the multiple that fells
         it."""
         part = 1.0
         if x.started and self.now - x.started < self.boot.cold:
             age = max(self.now - x.started, 0) / self.boot.cold
             part = self.boot.cold_from + (1 - self.boot.cold_from) * age
-        if x.back is not None and self.now - x.back < RETURN * self.boot.cycle:
-            age = (self.now - x.back) / (RETURN * self.boot.cycle)
-            part = min(part, RETURN_FROM + (1 - RETURN_FROM) * age)
         return part
 
     # Learned capacity and demand
