--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -26,7 +26,6 @@
 PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
 AGAIN = 0.4  # part of the refused calls that come again, before it is learned
 SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
-REFUSING = 0.8  # tries a call under which proxies must be turning calls away
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
 QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
@@ -108,7 +107,7 @@
         self.granted, self.calm = [0.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.again = [AGAIN] * len(bootstrap.routes)  # part of the refused calls that come again
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
-        self.tally = [0] * 5  # of one turn's reports: tries, dropped, answered, time taken by answers, calls
+        self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.learned = 0  # when reports last taught something
         self.changed = False  # the list has
         self.parted = {}  # zone -> when a proxy of it last left
@@ -207,7 +206,7 @@
         x.served[zone] = [keep * x.served.get(zone, [rate])[0] + (1 - keep) * rate, self.now]
         x.tries, x.dropped = keep * x.tries + tries, keep * x.dropped + dropped
         if not x.shut:  # one that never answers is judged by itself
-            line = (tries, dropped if answered else 0, answered, answered * took, 0)
+            line = (tries, dropped if answered else 0, answered, answered * took)
             self.tally = [sum(pair) for pair in zip(self.tally, line)]
         if answered:
             x.took = (x.took * x.calls + took * answered) / (x.calls + answered)
@@ -229,7 +228,6 @@
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
-        self.tally[4] += calls
 
     def applied(self, p, number):
         owed = self.proxies[p].owed if p in self.proxies else []
@@ -319,7 +317,7 @@
 
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
-        (tries, dropped, answered, taken, calls), self.tally = self.tally, [0] * 5
+        (tries, dropped, answered, taken), self.tally = self.tally, [0] * 4
         new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < SETTLED * self.boot.cycle)
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
             # Proxies that have just come are in the demand before they are in the reports: arrivals from a
@@ -348,11 +346,7 @@
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
             self.strained, self.fleet = True, max(fleet, DRAIN * served)
         elif self.fleet is None:
-            # After a crash, proxies that turn calls away by older levels tell that the fleet was full.
-            full = tries < REFUSING * calls and not any(p.standing for p in self.proxies.values())
-            carried = max(served, sum(self.demands()) * answered / max(calls, 1))
-            self.fleet = carried if full else served / TARGET
-            self.before = carried if full else 0.0
+            self.fleet = served / TARGET
         else:
             # Half of the way back to what was carried before the trouble, which may have been a passing one
             # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground, and
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,7 +112,6 @@
     scene.tell(("joined", 5, 0, 20.0, False), after=0.2)
     scene.say("the list as it is now: one has gone, one came seconds ago")
     scene.list((0, "running", None), (1, "running", None), (3, "running", 4.0), after=0.5)
-    scene.say("half of the calls were turned away by the older levels: the fleet was full already")
     for _ in range(4):
         scene.second([0, 1], calls=20, came=(20, 20))
     same("after_a_crash", scene)
