--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -29,7 +29,6 @@
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
 QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
-HEADSTART = -2  # such turns that a new process is given, as its line and its first reports are on their way
 EAGER, PARTED = 0.33, 5  # part of that proof where all proxies of a zone have left, and for how many cycles
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
@@ -74,7 +73,7 @@
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
         self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
         self.took = self.calls = 0.0  # answer time, and how many answers it rests on
-        self.quiet, self.missing = HEADSTART, 0.0  # since its last answer: turns with reports, answers due
+        self.quiet, self.missing = 0, 0.0  # since its last answer: turns with reports, answers due
         self.shut = False  # it never answers
 
     def answering(self):
@@ -270,7 +269,7 @@
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
         for b, x in running.items():
             x.quiet += 1
-            x.missing += self.tally[2] * bound * due.get(b, 0.0) / whole if x.quiet > 0 else 0.0
+            x.missing += self.tally[2] * bound * due.get(b, 0.0) / whole
             eager = EAGER if x.zone in cut else 1.0
             enough = x.missing > SILENT * eager and x.quiet >= QUIET * eager
             if not x.shut and enough and x.size <= room:
