--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -23,7 +23,6 @@
 ENOUGH_TRIES = 4  # under which a backend is not said to fail
 FAILING = 0.2  # and a backend or the fleet is failing past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow fleet or a failing backend is given, so that queues shorten
-DEEPEST = 0.4  # of what was carried before a trouble: no drop goes further, as late answers are not counted as served
 PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
 AGAIN = 0.4  # part of the refused calls that come again, before it is learned
 SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
@@ -344,7 +343,7 @@
                 self.before = fleet * self.level
             if not self.strained or self.now - self.dropped_at >= PATIENCE * self.boot.cycle:
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
-            self.strained, self.fleet = True, max(fleet, DRAIN * served, DEEPEST * self.before)
+            self.strained, self.fleet = True, max(fleet, DRAIN * served)
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
