--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -108,7 +108,7 @@
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.learned = 0  # when reports last taught something
-        self.changed = False  # the list has
+        self.changed = self.repeating = False  # the list has; withdrawals are to be said again
         self.parted = {}  # zone -> when a proxy of it last left
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
         self.width = 0.0  # size of what runs, cold ones in part
@@ -174,6 +174,20 @@
         self.left(p)
         self.proxies[p] = Proxy(zone, typical, self.now, standing)
         self.rebase(zone, typical)
+        if not self.repeating:
+            self.repeating = True
+            self.later(self.boot.cycle // 2, self.repeat)
+
+    def repeat(self):
+        """Rule 3: a proxy that keeps older tables for a while has not heard the withdrawals from before it
+        came."""
+        self.repeating = False
+        if all(p.bound for p in self.proxies.values()):
+            return
+        for b, x in self.backends.items():
+            if x.out:
+                self.out.withdraw(b, True)
+                self.charge(self.proxies.values())
 
     def left(self, p):
         proxy = self.proxies.pop(p, None)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -112,6 +112,8 @@
     scene.tell(("joined", 5, 0, 20.0, False), after=0.2)
     scene.say("the list as it is now: one has gone, one came seconds ago")
     scene.list((0, "running", None), (1, "running", None), (3, "running", 4.0), after=0.5)
+    scene.say("a proxy that comes after the withdrawal is told of it, too")
+    scene.tell(("joined", 6, 0, 20.0, False), after=0.1)
     for _ in range(4):
         scene.second([0, 1], calls=20, came=(20, 20))
     same("after_a_crash", scene)
