All that waits for reports counts in spells in which the lines come round

Cause: at full size 230 to 700 lines are due in a cycle and 100 to 400 are let through, so every line is missing from most turns.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -23,12 +23,12 @@
 ENOUGH_TRIES = 4  # under which a backend is not said to fail
 FAILING = 0.2  # and a backend or the fleet is failing past this part of its tries
 DRAIN = 0.85  # of the served rate: what a slow fleet or a failing backend is given, so that queues shorten
-PATIENCE = 3  # cycles from one drop of the fleet's capacity to the next
+PATIENCE = 2  # cycles, and a spell, from one drop of the fleet's capacity to the next
 AGAIN = 0.4  # part of the refused calls that come again, before it is learned
-SETTLED = 2.5  # cycles after which a proxy that has joined is in the reports in full
+SETTLED = 1.5  # cycles, and a spell, after which a proxy that has joined is in the reports in full
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
-QUIET = 3  # turns with reports, none of them with an answer from it, that go with that
+QUIET = 3  # spells of reports without an answer from it that go with that
 EAGER, PARTED = 0.33, 5  # part of that proof where all proxies of a zone have left, and for how many cycles
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
@@ -68,12 +68,11 @@
         self.forget()
 
     def forget(self):
-        """Nothing is known of the process that runs there now."""
         self.busy = self.rate = self.heard = 0.0  # its reports, decaying: cores busy, calls a second, count
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
         self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
         self.took = self.calls = 0.0  # answer time, and how many answers it rests on
-        self.quiet, self.missing = 0, 0.0  # since its last answer: turns with reports, answers due
+        self.quiet, self.missing = 0, 0.0  # since its last answer: spells with reports, answers due
         self.shut = False  # it never answers
 
     def answering(self):
@@ -107,7 +106,7 @@
         self.again = [AGAIN] * len(bootstrap.routes)  # part of the refused calls that come again
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
-        self.learned = 0  # when reports last taught something
+        self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
         self.changed = self.repeating = False  # the list has; withdrawals are to be said again
         self.parted = {}  # zone -> when a proxy of it last left
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
@@ -143,6 +142,10 @@
         heappush(self.due, (self.now + delay, self.draws, act))
         self.out.wake(self.now + delay, DUE)
 
+    def cycles(self, lag):
+        """The time in which the lines come round once, and `lag` cycles for orders and reports on their way."""
+        return (lag + self.spell) * self.boot.cycle
+
     def chance(self):
         self.draws += 1
         return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
@@ -241,6 +244,10 @@
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
+        # Where more lines are due in a cycle than the intake lets through, a line that is missing from one
+        # turn is the usual case. All that waits for reports counts in these spells. Could do harm where
+        # proxies are so idle that they have nothing to report for long: it then only waits longer.
+        self.spell += (max(covers / self.boot.cycle, 1.0) - self.spell) / (4 * len(self.proxies))
 
     def applied(self, p, number):
         owed = self.proxies[p].owed if p in self.proxies else []
@@ -282,7 +289,7 @@
                if here and zone not in here and self.now - at < PARTED * self.boot.cycle}
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
         for b, x in running.items():
-            x.quiet += 1
+            x.quiet += 1 / self.spell
             x.missing += self.tally[2] * bound * due.get(b, 0.0) / whole
             eager = EAGER if x.zone in cut else 1.0
             enough = x.missing > SILENT * eager and x.quiet >= QUIET * eager
@@ -291,14 +298,10 @@
                 self.out.log(f"backend {b} shut out: it never answers")
 
     def warmth(self, x):
-        """The part of a backend's capacity that can be counted on while it is cold. The least
-        that rule 4 states for its age, so that all proxies together stay well under the multiple that fells
-        it."""
-        part = 1.0
-        if x.started and self.now - x.started < self.boot.cold:
-            age = max(self.now - x.started, 0) / self.boot.cold
-            part = self.boot.cold_from + (1 - self.boot.cold_from) * age
-        return part
+        """The part of a backend's capacity that can be counted on while it is cold: the least that rule 4
+        states for its age, so that all proxies together stay well under the multiple that fells it."""
+        age = max(self.now - x.started, 0) / self.boot.cold if x.started else 1.0
+        return self.boot.cold_from + (1 - self.boot.cold_from) * min(age, 1.0)
 
     # Learned capacity and demand
 
@@ -331,7 +334,7 @@
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
         (tries, dropped, answered, taken), self.tally = self.tally, [0] * 4
-        new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < SETTLED * self.boot.cycle)
+        new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < self.cycles(SETTLED))
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
             # Proxies that have just come are in the demand before they are in the reports: arrivals from a
             # dead coordinator would look like a collapse of what is served. Blind for SETTLED cycles
@@ -339,12 +342,12 @@
             return
         running = self.running().values()
         for x in running:
-            if all(at <= self.learned for _, at in x.served.values()):
+            if all(self.now - at > self.cycles(0) for _, at in x.served.values()):
                 x.tries, x.dropped = x.tries / 2, x.dropped / 2
             for zone, known in x.served.items():
-                # No try, no line: others were heard from in this turn, so that zone has met nothing there.
-                known[0] *= 0.5 if known[1] <= self.learned else 1.0
-        self.learned, served = self.now, sum(x.answering() for x in running)
+                # No try, no line: others were heard from in this spell, so that zone has met nothing there.
+                known[0] *= 0.5 ** (1 / self.spell) if self.now - known[1] > self.cycles(0) else 1.0
+        served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
         slow = took > slow_at
@@ -355,7 +358,7 @@
             fleet = self.fleet or served
             if not self.strained:
                 self.before = fleet * self.level
-            if not self.strained or self.now - self.dropped_at >= PATIENCE * self.boot.cycle:
+            if not self.strained or self.now - self.dropped_at >= self.cycles(PATIENCE):
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
             self.strained, self.fleet = True, max(fleet, DRAIN * served)
         elif self.fleet is None:
@@ -585,7 +588,7 @@
         that waits: from then on they are under this list and these withdrawals alone."""
         out = sum(x.out for x in self.backends.values())
         for p, proxy in self.proxies.items():
-            early = self.now - proxy.since < PATIENCE * self.boot.cycle
+            early = self.now - proxy.since < self.cycles(PATIENCE)
             if not proxy.standing and self.fleet is None and early and out < len(self.backends) / 2:
                 # Knowing nothing (a start after a crash), what a coordinator that knew has laid is better
                 # than what this one would, levels included. Withdrawals hold for it; not where they may
