One account of the channel, a part for each kind of order, heaviest tables bound first

Now heads count, each list change is gathered for an eighth of the grace or the turn, weights may fill 0.3, bindings 0.4, levels 0.5, withdrawals 0.97 of the backlog. What else it guards: any mass event on the list.

--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -35,6 +35,7 @@
     head: float  # lines that a message costs beside its own
     messages_most: int  # messages to one proxy within `messages_over`; 0: no limit
     messages_over: int
+    grace: int  # drains are kept within this
     cold: int  # a backend is warm this long after its start
     cold_from: float  # and starts at this share of its capacity or more
 
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -29,13 +29,15 @@
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
 QUIET = 3  # spells of reports without an answer from it that go with that
-EAGER, PARTED = 0.33, 5  # part of that proof where all proxies of a zone have left, and for how many cycles
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
 IDLE = 0.02  # a reported load under this says nothing of the capacity
 FULL = 1e6  # calls a second at each proxy: no limit
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
-URGENT, ORDINARY = 0.9, 0.5  # parts of the backlog that bindings may fill, and that all other orders may
+# Parts of the backlog that orders may fill: what need not wait for others to share its messages, weights,
+# bindings, levels, withdrawals.
+AT_ONCE, WEIGHTS, BINDINGS, LEVELS, OUT = 0.1, 0.3, 0.4, 0.5, 0.97
+GATHER = 0.12  # of the grace of drains: withdrawals may wait this long for others
 
 
 def waterfill(demands, weights, paths, capacity):
@@ -64,7 +66,7 @@
 class Backend:
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
-        self.out = False  # withdrawn from joined proxies
+        self.out, self.told = False, 0  # withdrawn from joined proxies; when it last ceased to run
         self.forget()
 
     def forget(self):
@@ -108,7 +110,7 @@
         self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
         self.changed = self.repeating = False  # the list has; withdrawals are to be said again
-        self.parted = {}  # zone -> when a proxy of it last left
+        self.queue = 0.0  # lines that may still wait: all that the proxies have not acknowledged
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
         self.width = 0.0  # size of what runs, cold ones in part
         self.strained, self.dropped_at = False, 0  # the fleet is slow or failing; its capacity's last drop
@@ -137,13 +139,12 @@
         self.post()
 
     def later(self, delay, act):
-        """One ordered structure for all that is not periodic."""
         self.draws += 1
         heappush(self.due, (self.now + delay, self.draws, act))
         self.out.wake(self.now + delay, DUE)
 
     def cycles(self, lag):
-        """The time in which the lines come round once, and `lag` cycles for orders and reports on their way."""
+        """A spell, and `lag` cycles for orders and reports on their way."""
         return (lag + self.spell) * self.boot.cycle
 
     def chance(self):
@@ -154,8 +155,8 @@
 
     def listed(self, how, entries):
         if how == "failed":
-            # The list service is jammed or the watch broke. Guards rule 3 against a list that nobody sends
-            # any more; later each time, and by chance, so as not to add to the jam.
+            # Rule 3: against a list that nobody sends any more. Later each time, and by chance, so as not to
+            # add to a jam of the list service.
             self.asks += 1
             delay = min(self.boot.ask_within // 4, self.boot.cycle * 2 ** min(self.asks, 4) // 4)
             self.later(int(delay * (0.5 + self.chance())), lambda: self.out.watch())
@@ -163,6 +164,8 @@
         self.asks, self.changed = 0, True
         for b, state, zone, kind, size, started in entries:
             x = self.backends.setdefault(b, Backend())
+            if (state == "running") != (x.state == "running"):
+                x.told = self.now
             if state != "gone":
                 if x.state == "gone" or started != x.started:
                     x.forget()
@@ -171,7 +174,12 @@
         if how != "changes":
             present = {entry[0] for entry in entries}
             for b, x in self.backends.items():
-                x.state = x.state if b in present else "gone"
+                if b not in present and x.state != "gone":
+                    x.state, x.told = "gone", self.now
+        self.later(int(GATHER * self.boot.grace), self.stir)
+
+    def stir(self):
+        self.changed = True
 
     def joined(self, p, zone, typical, standing):
         self.left(p)
@@ -182,27 +190,22 @@
             self.later(self.boot.cycle // 2, self.repeat)
 
     def repeat(self):
-        """Rule 3: a proxy that keeps older tables for a while has not heard the withdrawals from before it
-        came."""
+        """Rule 3: a proxy that keeps older tables has not heard the withdrawals from before it came."""
         self.repeating = False
-        if all(p.bound for p in self.proxies.values()):
-            return
-        for b, x in self.backends.items():
-            if x.out:
-                self.out.withdraw(b, True)
-                self.charge(self.proxies.values())
+        for b in sorted(self.backends, key=lambda b: -self.backends[b].told):
+            if self.backends[b].out and not all(p.bound for p in self.proxies.values()):
+                self.bar(b, True, OUT)
 
     def left(self, p):
         proxy = self.proxies.pop(p, None)
         if proxy:
-            self.parted[proxy.zone] = self.now
+            self.queue -= sum(lines for _, lines in proxy.owed)
             self.rebase(proxy.zone, -proxy.calls())
 
     def rebase(self, zone, change):
-        """What is known of the fleet is the part that the joined proxies use. It moves with them at once:
-        served rates that lag would make a dead coordinator's proxies look like a surge, and those that left
-        like a lull. Could do harm if the typical rates that proxies state were far off; the next reports
-        then correct it."""
+        """What is known of the fleet is the part that the joined proxies use. It moves with them at once, or
+        a dead coordinator's proxies would look like a surge, and those that left like a lull. Could do harm
+        if the typical rates that proxies state were far off; the next reports then correct it."""
         whole = sum(p.calls() for p in self.proxies.values())
         if whole > 0 and whole > change:
             part = whole / (whole - change)
@@ -239,8 +242,7 @@
         proxy = self.proxies.get(p)
         if proxy is None or covers <= 0 or not 0 <= route < len(self.boot.routes):
             return
-        # Smoothed little: refused calls come back at once. The first, partial period starts from what is
-        # typical.
+        # Smoothed little: refused calls come back at once. The first, partial period starts from typical.
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
@@ -253,11 +255,11 @@
         owed = self.proxies[p].owed if p in self.proxies else []
         for i, (mark, _) in enumerate(owed):
             if mark == number:
+                self.queue -= sum(lines for _, lines in owed[: i + 1])
                 del owed[: i + 1]
                 break
 
     def ignored(self, *_):
-        """Told, but of no use to this mechanism; a timer only causes the round."""
 
     woke = probed = peer_said = slice_given = slice_line = slice_calls = ignored
 
@@ -267,12 +269,11 @@
         return {b: x for b, x in self.backends.items() if x.state == "running"}
 
     def judge(self):
-        """Shuts out what never answers, whether its tries fail or are not heard of at all: by the answers
-        of the others it would have given so many that chance cannot account for none. Guards against silent
-        backends, dead ones that a stale list still names, cut-off zones; late or missing reports stop the
-        others' answers too, so they are no evidence. Could do harm where a zone's reports alone fall
-        behind: hence the cap, and a trickle (the floor) goes on, of which one answer brings a backend
-        back."""
+        """Shuts out what never answers, whether its tries fail or are not heard of: by the others' answers it
+        owes more than chance can account for. Guards against silent backends, dead ones on a stale list,
+        cut-off zones; late reports stop the others' answers too and are no evidence. Could do harm where a
+        zone's reports alone fall behind: hence the cap, and a trickle (the floor) goes on, of which one
+        answer brings a backend back."""
         if not self.tally[0]:
             return
         running, demands, due = self.running(), self.demands(), {}
@@ -282,46 +283,36 @@
                 due[b] = due.get(b, 0.0) + demands[self.route_of(table)] * w / max(total, 1e-9)
         whole = sum(due[b] for b in due if b in running) or 1.0
         bound = sum(bool(p.bound) for p in self.proxies.values()) / max(len(self.proxies), 1)
-        # A zone whose proxies have all left at a time when others stay may be cut off: its backends need
-        # less proof.
-        here = {p.zone for p in self.proxies.values()}
-        cut = {zone for zone, at in self.parted.items()
-               if here and zone not in here and self.now - at < PARTED * self.boot.cycle}
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
         for b, x in running.items():
             x.quiet += 1 / self.spell
             x.missing += self.tally[2] * bound * due.get(b, 0.0) / whole
-            eager = EAGER if x.zone in cut else 1.0
-            enough = x.missing > SILENT * eager and x.quiet >= QUIET * eager
-            if not x.shut and enough and x.size <= room:
+            if not x.shut and x.missing > SILENT and x.quiet >= QUIET and x.size <= room:
                 x.shut, room = True, room - x.size
                 self.out.log(f"backend {b} shut out: it never answers")
 
     def warmth(self, x):
-        """The part of a backend's capacity that can be counted on while it is cold: the least that rule 4
-        states for its age, so that all proxies together stay well under the multiple that fells it."""
+        """Rule 4: the least part of its capacity that is stated for a cold backend's age."""
         age = max(self.now - x.started, 0) / self.boot.cold if x.started else 1.0
         return self.boot.cold_from + (1 - self.boot.cold_from) * min(age, 1.0)
 
     # Learned capacity and demand
 
     def demands(self):
-        """Calls a second by route. A gap in the reports leaves a figure as it was; proxies not yet heard
-        count with what is typical of them, in the mix of the others."""
+        """Calls a second by route; proxies not yet heard count with what is typical, in the others' mix."""
         n = len(self.boot.routes)
         totals = [sum(p.usage.get(route, 0.0) for p in self.proxies.values()) for route in range(n)]
         heard, mute = sum(totals), sum(p.typical for p in self.proxies.values() if not p.usage)
         return [t + mute * (t / heard if heard else 1 / n) for t in totals]
 
     def first_tries(self):
-        """Demand without the calls that come again because they were refused. What comes again is learned
-        from the demand before trouble; without it the way back from a jam lags by as long as reports and
-        orders take."""
+        """Demand without the calls that come again because they were refused; with them, the way back from a
+        jam lags by as long as reports and orders take."""
         return [d * (1.0 - again * (1.0 - share)) for d, again, share
                 in zip(self.demands(), self.again, self.shares[0])]
 
     def learn_again(self):
-        """How many refused calls come again, by route: against the demand while all was let in."""
+        """How many refused calls come again: against the demand while all was let in."""
         for route, demand in enumerate(self.demands()):
             share = self.shares[0][route]
             if min(s[route] for s in self.shares) >= 1.0:
@@ -336,9 +327,8 @@
         (tries, dropped, answered, taken), self.tally = self.tally, [0] * 4
         new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < self.cycles(SETTLED))
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
-            # Proxies that have just come are in the demand before they are in the reports: arrivals from a
-            # dead coordinator would look like a collapse of what is served. Blind for SETTLED cycles
-            # meanwhile.
+            # Proxies that have just come are in the demand before they are in the reports: a mass join would
+            # look like a collapse of what is served. Blind meanwhile.
             return
         running = self.running().values()
         for x in running:
@@ -353,8 +343,7 @@
         slow = took > slow_at
         if slow or dropped > FAILING * tries:
             # Drops to the served rate, once, then not until the effect can have been reported: what is
-            # served while calls are turned away says nothing of what could be. What is served now, though,
-            # can be done.
+            # served while calls are turned away says little. What is served now, though, can be done.
             fleet = self.fleet or served
             if not self.strained:
                 self.before = fleet * self.level
@@ -364,23 +353,22 @@
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
-            # Half of the way back to what was carried before the trouble, which may have been a passing one
-            # (a burst, a slowdown of all); from there on by the tenth, as beyond lies unknown ground, and
-            # by more the further answers are from slow: an idle fleet that turns calls away must not wait.
+            # Half of the way back to what was carried before the trouble, which may have passed; from there
+            # on by the tenth, and by more the further answers are from slow.
             clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
             growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
 
     def stated(self, x):
-        """Capacity by what a backend reports, less what other coordinators' proxies take of it."""
+        """Capacity by its reports, less what other coordinators' proxies take of it."""
         whole, mine = x.rate / x.busy, x.answering()
         others = max(x.rate / x.heard - mine, 0.0) if self.boot.coordinators > 1 else 0.0
         return max(whole - others, mine, 0.01) if others else max(whole, 0.01)
 
     def capacities(self):
-        """What each running backend can take now: its part of what the fleet can. The parts are the
-        reported capacities, else size over answer time, which is the inverse of the load that a call
-        brings. Unheard ones count as average for their size among their kind."""
+        """What each running backend can take now: its part of what the fleet can. The parts are the reported
+        capacities, else size over answer time, the inverse of the load that a call brings. Unheard ones
+        count as average for their size among their kind."""
         running, part = self.running(), {}
         reports = any(x.busy for x in running.values())
         for kind in {x.kind for x in running.values()}:
@@ -396,8 +384,8 @@
                     took_here = (x.calls * x.took + PRIOR * took) / (x.calls + PRIOR)
                     part[b] = self.warmth(x) * x.size / max(took_here, 1e-9)
         whole = sum(part.values()) or 1.0
-        # What the fleet can do goes with what runs and how warm it is, from this moment on: in a rolling
-        # release of a full fleet, calls have to be turned away before the cold ones are pushed over.
+        # What the fleet can do goes with what runs and how warm it is, at once: in a release of a full
+        # fleet, calls have to be turned away before the cold ones are pushed over.
         width = sum(x.size * self.warmth(x) for x in running.values())
         if self.width and self.fleet is not None:
             self.fleet *= width / self.width
@@ -419,13 +407,12 @@
         return table % len(self.boot.routes)
 
     def layout(self):
-        """One shared table a route; a route that may not leave the proxy's zone has one for each zone."""
+        """One shared table a route, or one for each zone where it may not leave the proxy's."""
         for route, r in enumerate(self.boot.routes):
             for zone in range(self.boot.zones) if r.own_zone else [None]:
                 yield route + (0 if zone is None else len(self.boot.routes) * (1 + zone)), route, zone
 
     def paths(self, route, zone):
-        """Running backends that a route may go to, from a proxy's zone where it may not leave it."""
         r = self.boot.routes[route]
         return [b for b, x in self.running().items() if (r.kinds is None or x.kind in r.kinds)
                 and (r.zones is None or x.zone in r.zones) and zone in (None, x.zone)]
@@ -450,32 +437,27 @@
             return
         fit = self.fit(wants, capacity)
         if fit > 1.0 and not self.strained and not self.before:
-            # Served over 0.65 is what was asked of the fleet, not what it can do. As long as nothing has
-            # been slow or failing, more demand (a start after a crash, first reports that are partial) is
-            # not turned away.
+            # Served over 0.65 is what was asked of the fleet, not what it can do: until something has been
+            # slow or failing, nothing is turned away.
             capacity = {b: c * fit for b, c in capacity.items()}
             self.fleet, fit = sum(capacity.values()), 1.0
         grants = wants
         if fit > 1.0:
-            # Too much for all: what each route may have, the important ones first. The multipliers that
-            # come of it are dropped: a route that gets all it asks for is bound by no backend and would
-            # keep stale ones.
+            # Too much for all: what each route may have, the important ones first. The multipliers of it are
+            # dropped: a route that gets all it asks for is bound by no backend and would keep stale ones.
             rates, _ = self.fill(wants, weights, capacity)
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
             fit = self.fit(grants, capacity)
-        # Where it goes: backends filled to a common level just above what it takes, so that each one binds
-        # and the multipliers move under light load as well.
+        # Where it goes: backends filled to a common level just above what it takes, so that each one binds.
         self.level = min(1.0, max(fit, 1e-6))
         _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
         self.theta.update(thetas)
-        # Full while a usable backend is under capacity: the waterfill grants less than is wanted only where
-        # every backend that the route may use binds.
+        # Full while a usable backend is under capacity: less is granted only where all of them bind.
         for route in range(len(demands)):
             mine = [t for t in wants if self.route_of(t) == route]
             if mine:
                 part = sum(grants[t] for t in mine) / sum(wants[t] for t in mine)
-                # Allocation over the demand that will come at that share: the more is let in, the less
-                # comes again.
+                # Allocation over the demand at that share: the more is let in, the less comes again.
                 again = self.again[route]
                 self.granted[route] = sum(grants[t] for t in mine)
                 self.share[route] = 1.0 if part > 1.0 - FINE else part * (1 - again) / (1 - again * part)
@@ -500,8 +482,7 @@
 
     def floored(self, theta):
         """The design's floor, a tenth of the even share, which keeps a trickle going to what is shut out.
-        Rule 4: not for cold backends, to which a tenth may be more than they can do; they get their part
-        and no more."""
+        Rule 4: cold backends, to which a tenth may be too much, get their part and no more."""
         even = FLOOR / len(theta)
         raised = {b: max(t, min(even, self.cold.get(b, even))) for b, t in theta.items()}
         total = sum(raised.values()) or 1.0
@@ -529,28 +510,37 @@
     def users(self, table):
         return [p for p in self.proxies.values() if table in p.bound]
 
-    def charge(self, proxies):
+    def bar(self, b, out, part):
+        """Withdraws a backend or lets it in, if that fits: a line at each proxy whose table names it."""
+        named = any(b in lines for lines in self.tables.values())
+        holders = [p for p in self.proxies.values() if named or not p.bound]
+        if not self.fits(holders, part):
+            return False
+        self.backends[b].out = out
+        self.out.withdraw(b, out)
+        self.charge(holders)
+        return True
+
+    def charge(self, proxies, lines=1):
+        """All that is not acknowledged counts as waiting: more than the channel holds, by what is on its
+        way; right whatever its pace is today, and a stalled proxy slows its own orders down."""
         for p in proxies:
-            p.cost += 1
-
-    def waiting(self):
-        """Lines that may still wait: all that the proxies have not acknowledged. More than the channel
-        holds, by what is on its way; right whatever its pace is today, and a stalled proxy slows its own
-        orders down."""
-        return sum(sum(lines for _, lines in p.owed) + (p.cost + self.boot.head + 1 if p.cost else 0)
-                   for p in self.proxies.values())
-
-    def room(self, users):
-        """Whether orders that can wait may go: half of the backlog and of the counted messages is for the
-        rest."""
+            self.queue += lines + (0 if p.cost else self.boot.head + 1)
+            p.cost += lines
+
+    def fits(self, users, part, lines=1):
+        """Rule 5: whether an order that can wait may go: its lines and heads stay within that part of the
+        backlog, and half of the counted messages is for the rest."""
         most, since = self.boot.messages_most, self.now - self.boot.messages_over
-        crowded = most and any(2 * sum(at > since for at in p.sent) >= most for p in users)
-        return not crowded and self.waiting() < ORDINARY * self.boot.backlog
+        if most and part < OUT and any(2 * sum(at > since for at in p.sent) >= most for p in users):
+            return False
+        cost = sum(lines + (0 if p.cost else self.boot.head + 1) for p in users)
+        return self.queue + cost <= part * self.boot.backlog
 
     def push(self, turn):
-        """Lines first (rule 1), then withdrawals (rule 3), then levels. New lines, and lines of what is let
-        in again, go at once; changes and removals wait for the turn. All but rules 1 and 3 need fits
-        ORDINARY (rule 5)."""
+        """Lines first (rule 1), then withdrawals (rule 3), then levels. Each message costs its head: what
+        can wait is gathered for the turn, withdrawals for a part of their grace. New lines, and lines of
+        what is let in again, go at once where that costs little."""
         changes, unplaced = [], set()
         for table, _, _ in self.layout():
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
@@ -563,7 +553,8 @@
             changes.extend((3, 0.0, table, b, 0.0) for b in lines if theta and b not in theta)
         for order, _, table, b, weight in sorted(changes):
             users = self.users(table)
-            if order and (order > 1 and not turn or not self.room(users)):
+            part = WEIGHTS if turn else AT_ONCE if order < 2 else 0.0
+            if order and not self.fits(users, part):
                 unplaced.add(b)  # and so not let in again either
                 continue
             self.tables[table][b] = weight
@@ -571,14 +562,19 @@
                 del self.tables[table][b]
             self.out.line(table, b, weight)
             self.charge(users)
+        held = False
         for b, x in self.backends.items():
-            if x.out != (x.state != "running") and (not x.out or b not in unplaced):
-                x.out = not x.out
-                self.out.withdraw(b, x.out)
-                self.charge(self.proxies.values())
+            if x.out == (x.state != "running") or x.out and b in unplaced:
+                continue
+            due = turn or self.now - x.told >= GATHER * self.boot.grace
+            if not self.bar(b, not x.out, OUT if due else AT_ONCE) and due:
+                held = True
+        if held and not turn:
+            self.later(self.boot.cycle // 10, self.stir)
         for table, route, _ in self.layout():
             quota, old = self.quota(route), self.levels.get(table)
-            if old is None or turn and (abs(quota - old) > FINE * old or quota == 1.0 != old):
+            moved = old is not None and (abs(quota - old) > FINE * old or quota == 1.0 != old)
+            if old is None or turn and moved and self.fits(self.users(table), LEVELS):
                 self.levels[table] = quota
                 self.out.admit(table, (route,), quota, PROOF)
                 self.charge(self.users(table))
@@ -586,27 +582,32 @@
     def join(self):
         """Binds proxies to the shared tables, those that come with older ones included, before all else
         that waits: from then on they are under this list and these withdrawals alone."""
-        out = sum(x.out for x in self.backends.values())
+        if all(len(p.bound) == len(self.tables) for p in self.proxies.values()):
+            return
+        demands = self.demands()
+        out, wanted = sum(x.out for x in self.backends.values()), []
         for p, proxy in self.proxies.items():
             early = self.now - proxy.since < self.cycles(PATIENCE)
             if not proxy.standing and self.fleet is None and early and out < len(self.backends) / 2:
-                # Knowing nothing (a start after a crash), what a coordinator that knew has laid is better
-                # than what this one would, levels included. Withdrawals hold for it; not where they may
-                # have left it bare.
+                # Knowing nothing (a start after a crash), what a coordinator that knew has laid is better,
+                # levels included. Withdrawals hold for it; not where they may have left it bare.
                 continue
-            mine = [(t, route) for t, route, zone in self.layout()
-                    if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
-            cost = sum(2 + len(self.tables[t]) for t, _ in mine)
-            cost += sum(self.backends[b].out for t, _ in mine for b in self.tables[t])
-            if mine and self.waiting() + cost + self.boot.head > URGENT * self.boot.backlog:
+            calls = proxy.calls()
+            wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
+                       for t, route, zone in self.layout()
+                       if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
+        # First those that hold only what they drew at their start, and the tables that decide about most
+        # calls a line.
+        for _, _, p, table, route in sorted(wanted):
+            proxy = self.proxies[p]
+            cost = 2 + len(self.tables[table]) + sum(self.backends[b].out for b in self.tables[table])
+            if not self.fits([proxy], BINDINGS, cost):
                 break
-            for table, route in mine:
-                self.out.bind(p, table, (route,))
-                proxy.bound.add(table)
-            proxy.cost += cost
+            self.out.bind(p, table, (route,))
+            proxy.bound.add(table)
+            self.charge([proxy], cost)
 
     def post(self):
-        """Accounts for the messages of this round; a mark tells when they have arrived."""
         written = [p for p in self.proxies.values() if p.cost]
         if written:
             self.mark = (self.mark + 1) % 65536
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -57,6 +57,7 @@
             head=float(special["perMessage"]),
             messages_most=int(special.get("messagesMost", 0)),
             messages_over=micros(special.get("countedOver", 10)),
+            grace=micros(rules["stopSendingWithin"]),
             cold=micros(rules["cold"]),
             cold_from=float(rules["coldFrom"]),
         )
