--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -107,10 +107,10 @@
         self.granted, self.calm = [0.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.again = [AGAIN] * len(bootstrap.routes)  # part of the refused calls that come again
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
+        self.queue = 0.0  # lines that may still wait: all that the proxies have not acknowledged
         self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
         self.changed = self.repeating = False  # the list has; withdrawals are to be said again
-        self.queue = 0.0  # lines that may still wait: all that the proxies have not acknowledged
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
         self.width = 0.0  # size of what runs, cold ones in part
         self.strained, self.dropped_at = False, 0  # the fleet is slow or failing; its capacity's last drop
@@ -260,6 +260,7 @@
                 break
 
     def ignored(self, *_):
+        """Of no use to this mechanism; a timer only causes the round."""
 
     woke = probed = peer_said = slice_given = slice_line = slice_calls = ignored
 
@@ -452,7 +453,6 @@
         self.level = min(1.0, max(fit, 1e-6))
         _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
         self.theta.update(thetas)
-        # Full while a usable backend is under capacity: less is granted only where all of them bind.
         for route in range(len(demands)):
             mine = [t for t in wants if self.route_of(t) == route]
             if mine:
