Only slowness lowers the fleet's capacity; losses only move weight between backends

A lossy backend was held to 0.85 of what it served, each turn anew. Now a backend's part is what it answers of its tries, and the fleet drops only when answers are slow. It should also guard against one-sided trouble, dead backends on a stale list and failing connections. Harm: where waiting rooms are so short that full backends refuse and stay quick.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -20,8 +20,7 @@
 SLACK = 1.02  # backends are filled to a common level this much above the least that holds the demand
 PRECEDENCE = 8.0  # weight of a route over the next less important one
 SLOW = 0.55  # the fleet is slow past this part of the tightest SLO time
-ENOUGH_TRIES = 4  # under which a backend is not said to fail
-FAILING = 0.2  # and a backend or the fleet is failing past this part of its tries
+ENOUGH_TRIES = 4  # under which losses of a backend are chance
 DRAIN = 0.85  # of the served rate: what a slow fleet or a failing backend is given, so that queues shorten
 PATIENCE = 2  # cycles, and a spell, from one drop of the fleet's capacity to the next
 AGAIN = 0.4  # part of the refused calls that come again, before it is learned
@@ -113,7 +112,7 @@
         self.changed = self.repeating = False  # the list has; withdrawals are to be said again
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
         self.width = 0.0  # size of what runs, cold ones in part
-        self.strained, self.dropped_at = False, 0  # the fleet is slow or failing; its capacity's last drop
+        self.strained, self.dropped_at = False, 0  # the fleet is slow; its capacity's last drop
         self.level = 1.0  # the part of their capacity to which backends are filled
 
     def round(self, now, arrivals, out):
@@ -341,10 +340,12 @@
         served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
-        slow = took > slow_at
-        if slow or dropped > FAILING * tries:
-            # Drops to the served rate, once, then not until the effect can have been reported: what is
-            # served while calls are turned away says little. What is served now, though, can be done.
+        # Slowness alone tells a full fleet. Where answers get lost or connections fail, fewer calls only mean
+        # fewer answers, down to nothing, and backends that refuse because they are full are slow as well.
+        # Could do harm where waiting rooms are very short.
+        if took > slow_at:
+            # Drops once, then not until the effect can have been reported: what is served while calls are
+            # turned away says little. What is served now, though, can be done.
             fleet = self.fleet or served
             if not self.strained:
                 self.before = fleet * self.level
@@ -384,6 +385,9 @@
                 elif x.kind == kind:
                     took_here = (x.calls * x.took + PRIOR * took) / (x.calls + PRIOR)
                     part[b] = self.warmth(x) * x.size / max(took_here, 1e-9)
+        for b, x in running.items():
+            # If all lose alike, nothing changes.
+            part[b] *= 1.0 - x.dropped / x.tries if x.tries > ENOUGH_TRIES else 1.0
         whole = sum(part.values()) or 1.0
         # What the fleet can do goes with what runs and how warm it is, at once: in a release of a full
         # fleet, calls have to be turned away before the cold ones are pushed over.
@@ -397,9 +401,6 @@
         fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
         capacity = {b: 0.0 if x.shut else fleet * part[b] / whole for b, x in running.items()}
         self.cold = {b: part[b] / whole for b, x in running.items() if self.warmth(x) < 1.0 and not x.shut}
-        for b, x in running.items():
-            if x.dropped > FAILING * x.tries and x.tries > ENOUGH_TRIES:
-                capacity[b] = min(capacity[b], DRAIN * x.answering() / self.level)
         return capacity
 
     # The waterfill decides rates, shares and weights
@@ -438,8 +439,7 @@
             return
         fit = self.fit(wants, capacity)
         if fit > 1.0 and not self.strained and not self.before:
-            # Served over 0.65 is what was asked of the fleet, not what it can do: until something has been
-            # slow or failing, nothing is turned away.
+            # Served over 0.65 is what was asked, not what can be done: nothing is turned away until slow.
             capacity = {b: c * fit for b, c in capacity.items()}
             self.fleet, fit = sum(capacity.values()), 1.0
         grants = wants
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -59,6 +59,15 @@
     same("overload", scene)
 
 
+def test_lost_answers_turn_nobody_away_and_move_weight_to_backends_that_lose_less():
+    scene = stage("admit", "line")
+    scene.say("two of four lose a third of their answers; those that come are quick")
+    for _ in range(5):
+        scene.tell(*(("met", b, 0, 20, 7 * (b < 2), 100_000, 1_000_000, None) for b in ALL),
+                   *(("came", p, r, 10, 1_000_000) for p in (1, 2, 3, 4) for r in (0, 1)), after=1.0)
+    same("lost_answers", scene)
+
+
 def test_levels_by_rate_are_the_same_for_every_proxy():
     scene = stage("admit", admission="per_second")
     for took in (0.6, 0.9):
