--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -21,7 +21,7 @@
 PRECEDENCE = 8.0  # weight of a route over the next less important one
 SLOW = 0.55  # the fleet is slow past this part of the tightest SLO time
 ENOUGH_TRIES = 4  # under which losses of a backend are chance
-DRAIN = 0.85  # of the served rate: what a slow fleet or a failing backend is given, so that queues shorten
+DRAIN = 0.85  # of the served rate: the least that a slow fleet is given, so that queues shorten
 PATIENCE = 2  # cycles, and a spell, from one drop of the fleet's capacity to the next
 AGAIN = 0.4  # part of the refused calls that come again, before it is learned
 SETTLED = 1.5  # cycles, and a spell, after which a proxy that has joined is in the reports in full
@@ -351,7 +351,7 @@
                 self.before = fleet * self.level
             if not self.strained or self.now - self.dropped_at >= self.cycles(PATIENCE):
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
-            self.strained, self.fleet = True, max(fleet, DRAIN * served)
+            self.strained, self.fleet = True, max(fleet, served * max(slow_at / took, DRAIN))
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
