--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -98,7 +98,7 @@
     def __init__(self, bootstrap, seed):
         self.boot, self.seed, self.draws = bootstrap, seed, 0
         self.backends, self.proxies = {}, {}
-        self.tables, self.levels = {}, {}  # table -> {backend: weight}, table -> level: as sent
+        self.tables, self.levels = {}, {}  # table -> {backend: weight}, route -> level: as sent
         self.theta = {}  # table -> {backend: multiplier}
         self.cold = {}  # cold backend -> its part of the fleet, which no floor lifts
         self.share = [1.0] * len(bootstrap.routes)
@@ -355,8 +355,8 @@
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
-            # Half of the way back to what was carried before the trouble, which may have passed; from there
-            # on by the tenth, and by more the further answers are from slow.
+            # Half of the way back to what was carried before the trouble; from there on by the tenth, and by
+            # more the further answers are from slow.
             clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
             growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
@@ -538,9 +538,9 @@
         return self.queue + cost <= part * self.boot.backlog
 
     def push(self, turn):
-        """Lines first (rule 1), then withdrawals (rule 3), then levels. Each message costs its head: what
-        can wait is gathered for the turn, withdrawals for a part of their grace. New lines, and lines of
-        what is let in again, go at once where that costs little."""
+        """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered for the turn,
+        withdrawals for a part of their grace, as each message costs its head. New lines go at once where
+        that costs little."""
         changes, unplaced = [], set()
         for table, _, _ in self.layout():
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
@@ -571,13 +571,14 @@
                 held = True
         if held and not turn:
             self.later(self.boot.cycle // 10, self.stir)
-        for table, route, _ in self.layout():
-            quota, old = self.quota(route), self.levels.get(table)
-            moved = old is not None and (abs(quota - old) > FINE * old or quota == 1.0 != old)
-            if old is None or turn and moved and self.fits(self.users(table), LEVELS):
-                self.levels[table] = quota
-                self.out.admit(table, (route,), quota, PROOF)
-                self.charge(self.users(table))
+        for route in range(len(self.boot.routes)):
+            # For all tables at once, those that proxies still hold from before they are bound included.
+            quota, old, proxies = self.quota(route), self.levels.get(route, -1.0), self.proxies.values()
+            moved = turn and (abs(quota - old) > FINE * old or quota == 1.0 != old)
+            if old < 0.0 or moved and self.fits(proxies, LEVELS):
+                self.levels[route] = quota
+                self.out.admit(None, (route,), quota, PROOF)
+                self.charge(proxies)
 
     def join(self):
         """Binds proxies to the shared tables, those that come with older ones included, before all else
@@ -596,8 +597,7 @@
             wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
                        for t, route, zone in self.layout()
                        if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
-        # First those that hold only what they drew at their start, and the tables that decide about most
-        # calls a line.
+        # First those that hold only what they drew at their start, and the tables with most calls a line.
         for _, _, p, table, route in sorted(wanted):
             proxy = self.proxies[p]
             cost = 2 + len(self.tables[table]) + sum(self.backends[b].out for b in self.tables[table])
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -3,6 +3,7 @@
 from cranecleat.interface import Bootstrap, Route
 
 MICRO = 1_000_000
+ALL = 65535  # the table number that stands for all tables of all joined proxies
 ADMISSIONS = ("fraction", "per_second", "silent")
 SCOPES = {"patch": "changes", "whole": "whole", "stale_copy": "held", "broken": "failed"}
 STATES = {"Running": "running", "Stopping": "draining", "Deleted": "gone"}
@@ -153,7 +154,8 @@
         self.put("bench", backend=self.names.ids[backend], set=out)
 
     def admit(self, table, routes, level, tries):
-        self.put("ration", routeTable=table, classes=self.bits(routes), quota=level, how=tries)
+        self.put("ration", routeTable=ALL if table is None else table, classes=self.bits(routes), quota=level,
+                 how=tries)
 
     def mark(self, number):
         self.put("seal", number=number, set=False)
