--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -221,7 +221,8 @@
             return
         answered, keep = max(tries - dropped, 0), 0.5 ** (covers / self.boot.cycle)
         rate = answered * 1e6 / covers
-        x.served[zone] = [keep * x.served.get(zone, [rate])[0] + (1 - keep) * rate, self.now]
+        fresh = 1.0 - 0.2 ** (covers / self.boot.cycle)  # as demand is, which it is held against
+        x.served[zone] = [rate * fresh + x.served.get(zone, [rate])[0] * (1.0 - fresh), self.now]
         x.tries, x.dropped = keep * x.tries + tries, keep * x.dropped + dropped
         if not x.shut:  # one that never answers is judged by itself
             line = (tries, dropped if answered else 0, answered, answered * took)
@@ -362,7 +363,6 @@
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
 
     def stated(self, x):
-        """Capacity by its reports, less what other coordinators' proxies take of it."""
         whole, mine = x.rate / x.busy, x.answering()
         others = max(x.rate / x.heard - mine, 0.0) if self.boot.coordinators > 1 else 0.0
         return max(whole - others, mine, 0.01) if others else max(whole, 0.01)
