Withdrawals go out in batches and are repeated until said; the account follows the channel's order

Now new and repeated ones share messages, all at once or what fits into half a backlog, the oldest first; nothing else is written while some are late; all else is bounded by half of what the channel sends in the grace as well as by the backlog; and what was written before a message that has arrived counts as sent, as the channel sends in order.

--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -32,6 +32,7 @@
     admission: str  # "fraction", "per_second" or "silent"
     cycle: int  # reports are gathered this often
     backlog: int  # lines that may wait in the channel
+    pace: float  # lines a second that the channel sends, at its usual speed
     head: float  # lines that a message costs beside its own
     messages_most: int  # messages to one proxy within `messages_over`; 0: no limit
     messages_over: int
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -33,9 +33,8 @@
 IDLE = 0.02  # a reported load under this says nothing of the capacity
 FULL = 1e6  # calls a second at each proxy: no limit
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
-# Parts of the backlog that orders may fill: what need not wait for others to share its messages, weights,
-# bindings, levels, withdrawals.
-AT_ONCE, WEIGHTS, BINDINGS, LEVELS, OUT = 0.1, 0.3, 0.4, 0.5, 0.97
+# Parts of the backlog for what need not wait to share messages, weights, bindings, levels, withdrawals.
+AT_ONCE, WEIGHTS, BINDINGS, LEVELS, OUT = 0.1, 0.25, 0.33, 0.45, 0.97
 GATHER = 0.12  # of the grace of drains: withdrawals may wait this long for others
 
 
@@ -86,7 +85,6 @@
         self.standing = standing  # it holds only the tables that it drew at its start
         self.usage = {}  # route -> calls a second
         self.bound = set()  # tables
-        self.owed = []  # (mark, lines) of messages not known to have arrived
         self.cost = 0  # lines that this round has put into its message
         self.sent = []  # when messages were written, within the counted span
 
@@ -106,10 +104,12 @@
         self.granted, self.calm = [0.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.again = [AGAIN] * len(bootstrap.routes)  # part of the refused calls that come again
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
-        self.queue = 0.0  # lines that may still wait: all that the proxies have not acknowledged
+        self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
-        self.changed = self.repeating = False  # the list has; withdrawals are to be said again
+        self.changed = False  # the list has
+        # Withdrawals to be said again, when those that wait are due, and whether some are late.
+        self.unsaid, self.say_at, self.behind = set(), None, False
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
         self.width = 0.0  # size of what runs, cold ones in part
         self.strained, self.dropped_at = False, 0  # the fleet is slow; its capacity's last drop
@@ -175,30 +175,28 @@
             for b, x in self.backends.items():
                 if b not in present and x.state != "gone":
                     x.state, x.told = "gone", self.now
-        self.later(int(GATHER * self.boot.grace), self.stir)
-
-    def stir(self):
-        self.changed = True
+        if any(x.state != "running" and not x.out for x in self.backends.values()):
+            self.say()
 
     def joined(self, p, zone, typical, standing):
         self.left(p)
         self.proxies[p] = Proxy(zone, typical, self.now, standing)
         self.rebase(zone, typical)
-        if not self.repeating:
-            self.repeating = True
-            self.later(self.boot.cycle // 2, self.repeat)
+        self.unsaid = {b for b, x in self.backends.items() if x.out}
+        if self.unsaid:
+            self.say()
 
-    def repeat(self):
-        """Rule 3: a proxy that keeps older tables has not heard the withdrawals from before it came."""
-        self.repeating = False
-        for b in sorted(self.backends, key=lambda b: -self.backends[b].told):
-            if self.backends[b].out and not all(p.bound for p in self.proxies.values()):
-                self.bar(b, True, OUT)
+    def say(self):
+        """Withdrawals wait a part of the grace for others, as every message costs its head."""
+        if self.say_at is None:
+            self.say_at = self.now + int(GATHER * self.boot.grace)
+            self.later(int(GATHER * self.boot.grace), lambda: setattr(self, "changed", True))
 
     def left(self, p):
         proxy = self.proxies.pop(p, None)
         if proxy:
-            self.queue -= sum(lines for _, lines in proxy.owed)
+            for _, lines in self.owed:
+                self.queue -= lines.pop(p, 0.0)
             self.rebase(proxy.zone, -proxy.calls())
 
     def rebase(self, zone, change):
@@ -246,17 +244,16 @@
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
-        # Where more lines are due in a cycle than the intake lets through, a line that is missing from one
-        # turn is the usual case. All that waits for reports counts in these spells. Could do harm where
-        # proxies are so idle that they have nothing to report for long: it then only waits longer.
+        # Where more lines are due in a cycle than the intake lets through, one that is missing from a turn is
+        # the usual case: all that waits for reports counts in spells. Where proxies are idle it waits longer.
         self.spell += (max(covers / self.boot.cycle, 1.0) - self.spell) / (4 * len(self.proxies))
 
     def applied(self, p, number):
-        owed = self.proxies[p].owed if p in self.proxies else []
-        for i, (mark, _) in enumerate(owed):
-            if mark == number:
-                self.queue -= sum(lines for _, lines in owed[: i + 1])
-                del owed[: i + 1]
+        """The channel sends in order: what was written before a message that has arrived has left it."""
+        for i, (mark, lines) in enumerate(self.owed):
+            if mark == number and p in lines:
+                self.queue -= lines.pop(p) + sum(sum(older.values()) for _, older in self.owed[:i])
+                del self.owed[:i]
                 break
 
     def ignored(self, *_):
@@ -313,7 +310,6 @@
                 in zip(self.demands(), self.again, self.shares[0])]
 
     def learn_again(self):
-        """How many refused calls come again: against the demand while all was let in."""
         for route, demand in enumerate(self.demands()):
             share = self.shares[0][route]
             if min(s[route] for s in self.shares) >= 1.0:
@@ -336,17 +332,15 @@
             if all(self.now - at > self.cycles(0) for _, at in x.served.values()):
                 x.tries, x.dropped = x.tries / 2, x.dropped / 2
             for zone, known in x.served.items():
-                # No try, no line: others were heard from in this spell, so that zone has met nothing there.
+                # No try, no line: in a spell in which others were heard, that zone has met nothing there.
                 known[0] *= 0.5 ** (1 / self.spell) if self.now - known[1] > self.cycles(0) else 1.0
         served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
-        # Slowness alone tells a full fleet. Where answers get lost or connections fail, fewer calls only mean
-        # fewer answers, down to nothing, and backends that refuse because they are full are slow as well.
-        # Could do harm where waiting rooms are very short.
+        # Slowness alone tells a full fleet: fewer calls do not mend lost answers or failing connections, and
+        # backends that refuse as full are slow as well. Could do harm where waiting rooms are very short.
         if took > slow_at:
-            # Drops once, then not until the effect can have been reported: what is served while calls are
-            # turned away says little. What is served now, though, can be done.
+            # Drops once, then not until the effect can have been reported. What is served now can be done.
             fleet = self.fleet or served
             if not self.strained:
                 self.before = fleet * self.level
@@ -356,8 +350,7 @@
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
-            # Half of the way back to what was carried before the trouble; from there on by the tenth, and by
-            # more the further answers are from slow.
+            # Half of the way back to what was carried before; then by the tenth, by more if far from slow.
             clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
             growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
@@ -386,11 +379,10 @@
                     took_here = (x.calls * x.took + PRIOR * took) / (x.calls + PRIOR)
                     part[b] = self.warmth(x) * x.size / max(took_here, 1e-9)
         for b, x in running.items():
-            # If all lose alike, nothing changes.
             part[b] *= 1.0 - x.dropped / x.tries if x.tries > ENOUGH_TRIES else 1.0
         whole = sum(part.values()) or 1.0
-        # What the fleet can do goes with what runs and how warm it is, at once: in a release of a full
-        # fleet, calls have to be turned away before the cold ones are pushed over.
+        # It goes with what runs and how warm that is, at once: in a release of a full fleet, calls have to be
+        # turned away before the cold ones are pushed over.
         width = sum(x.size * self.warmth(x) for x in running.values())
         if self.width and self.fleet is not None:
             self.fleet *= width / self.width
@@ -439,7 +431,7 @@
             return
         fit = self.fit(wants, capacity)
         if fit > 1.0 and not self.strained and not self.before:
-            # Served over 0.65 is what was asked, not what can be done: nothing is turned away until slow.
+            # That is what was asked, not what can be done: nothing is turned away until slow.
             capacity = {b: c * fit for b, c in capacity.items()}
             self.fleet, fit = sum(capacity.values()), 1.0
         grants = wants
@@ -449,7 +441,7 @@
             rates, _ = self.fill(wants, weights, capacity)
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
             fit = self.fit(grants, capacity)
-        # Where it goes: backends filled to a common level just above what it takes, so that each one binds.
+        # Where it goes: all filled to a common level just above what it takes, so that each one binds.
         self.level = min(1.0, max(fit, 1e-6))
         _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
         self.theta.update(thetas)
@@ -510,20 +502,23 @@
     def users(self, table):
         return [p for p in self.proxies.values() if table in p.bound]
 
-    def bar(self, b, out, part):
-        """Withdraws a backend or lets it in, if that fits: a line at each proxy whose table names it."""
-        named = any(b in lines for lines in self.tables.values())
+    def bar(self, which, out, part):
+        """Withdraws backends or lets them in, a line at each proxy whose table names them: all at once, as
+        every message costs its head, or what fits into half a backlog. Returns those still to be said."""
+        named = any(b in lines for b in which for lines in self.tables.values())
         holders = [p for p in self.proxies.values() if named or not p.bound]
-        if not self.fits(holders, part):
-            return False
-        self.backends[b].out = out
-        self.out.withdraw(b, out)
-        self.charge(holders)
-        return True
+        space = (part * self.boot.backlog - self.queue) / max(len(holders), 1) - self.boot.head - 1
+        full = self.queue > self.boot.backlog / 2 and space < len(which)
+        if full or part < OUT and not self.fits(holders, part, len(which)):
+            return which
+        for b in which[:int(space)]:
+            self.backends[b].out = out
+            self.out.withdraw(b, out)
+            self.charge(holders)
+        return which[int(space):]
 
     def charge(self, proxies, lines=1):
-        """All that is not acknowledged counts as waiting: more than the channel holds, by what is on its
-        way; right whatever its pace is today, and a stalled proxy slows its own orders down."""
+        """All that is not known to have left counts as waiting, which holds at any pace."""
         for p in proxies:
             self.queue += lines + (0 if p.cost else self.boot.head + 1)
             p.cost += lines
@@ -532,15 +527,15 @@
         """Rule 5: whether an order that can wait may go: its lines and heads stay within that part of the
         backlog, and half of the counted messages is for the rest."""
         most, since = self.boot.messages_most, self.now - self.boot.messages_over
-        if most and part < OUT and any(2 * sum(at > since for at in p.sent) >= most for p in users):
+        if part < OUT and (self.behind or most and
+                           any(2 * sum(at > since for at in p.sent) >= most for p in users)):
             return False
         cost = sum(lines + (0 if p.cost else self.boot.head + 1) for p in users)
-        return self.queue + cost <= part * self.boot.backlog
+        return self.queue + cost <= part * min(self.boot.backlog, self.boot.pace * self.boot.grace / 2e6)
 
     def push(self, turn):
-        """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered for the turn,
-        withdrawals for a part of their grace, as each message costs its head. New lines go at once where
-        that costs little."""
+        """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered for the
+        turn, withdrawals for a part of their grace. New lines go at once where that costs little."""
         changes, unplaced = [], set()
         for table, _, _ in self.layout():
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
@@ -562,15 +557,18 @@
                 del self.tables[table][b]
             self.out.line(table, b, weight)
             self.charge(users)
-        held = False
-        for b, x in self.backends.items():
-            if x.out == (x.state != "running") or x.out and b in unplaced:
-                continue
-            due = turn or self.now - x.told >= GATHER * self.boot.grace
-            if not self.bar(b, not x.out, OUT if due else AT_ONCE) and due:
-                held = True
-        if held and not turn:
-            self.later(self.boot.cycle // 10, self.stir)
+        back = [b for b, x in self.backends.items() if x.out and x.state == "running" and b not in unplaced]
+        if all(p.bound for p in self.proxies.values()):
+            self.unsaid.clear()
+        gone = [b for b, x in self.backends.items() if x.state != "running" and x.out <= (b in self.unsaid)]
+        gone.sort(key=lambda b: (self.backends[b].out, self.backends[b].told, b))
+        due = turn or self.say_at is not None and self.now >= self.say_at
+        rest = self.bar(gone, True, OUT if due else AT_ONCE)
+        self.unsaid.intersection_update(rest)
+        self.behind, self.say_at = due and bool(rest), self.say_at if rest else None
+        if self.behind:
+            self.later(self.boot.cycle // 10, lambda: setattr(self, "changed", True))
+        self.bar(back, False, OUT if turn else AT_ONCE)
         for route in range(len(self.boot.routes)):
             # For all tables at once, those that proxies still hold from before they are bound included.
             quota, old, proxies = self.quota(route), self.levels.get(route, -1.0), self.proxies.values()
@@ -582,7 +580,7 @@
 
     def join(self):
         """Binds proxies to the shared tables, those that come with older ones included, before all else
-        that waits: from then on they are under this list and these withdrawals alone."""
+        that waits: they are then under this list and these withdrawals alone."""
         if all(len(p.bound) == len(self.tables) for p in self.proxies.values()):
             return
         demands = self.demands()
@@ -590,8 +588,8 @@
         for p, proxy in self.proxies.items():
             early = self.now - proxy.since < self.cycles(PATIENCE)
             if not proxy.standing and self.fleet is None and early and out < len(self.backends) / 2:
-                # Knowing nothing (a start after a crash), what a coordinator that knew has laid is better,
-                # levels included. Withdrawals hold for it; not where they may have left it bare.
+                # Knowing nothing (a start after a crash), what one that knew has laid is better, levels
+                # included. Withdrawals hold for it; not where they may have left it bare.
                 continue
             calls = proxy.calls()
             wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
@@ -608,11 +606,12 @@
             self.charge([proxy], cost)
 
     def post(self):
-        written = [p for p in self.proxies.values() if p.cost]
+        written = {p: proxy.cost + self.boot.head + 1 for p, proxy in self.proxies.items() if proxy.cost}
         if written:
             self.mark = (self.mark + 1) % 65536
             self.out.mark(self.mark)
-        for p in written:
-            p.owed.append((self.mark, p.cost + self.boot.head + 1))
-            p.sent = [*p.sent[1 - self.boot.messages_most:], self.now] if self.boot.messages_most else []
-            p.cost = 0
+            self.owed.append((self.mark, written))
+        most = self.boot.messages_most
+        for proxy in (self.proxies[p] for p in written):
+            proxy.sent = [*proxy.sent[1 - most:], self.now] if most else []
+            proxy.cost = 0
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -55,6 +55,7 @@
             admission=choice(ADMISSIONS, special["admission"], "admission"),
             cycle=micros(special["cycle"]),
             backlog=int(special["backlog"]),
+            pace=float(special["egressPerS"]),
             head=float(special["perMessage"]),
             messages_most=int(special.get("messagesMost", 0)),
             messages_over=micros(special.get("countedOver", 10)),
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -13,7 +13,7 @@
 SECOND = 1_000_000
 ROUTES = (Route(3.0, SECOND, False, None, None), Route(1.0, SECOND, False, None, None))
 BOOT = Bootstrap(routes=ROUTES, zones=2, coordinators=1, must_ask=False, ask_within=10 * SECOND,
-                 admission="fraction", cycle=SECOND, backlog=1000, head=10.0, messages_most=0,
+                 admission="fraction", cycle=SECOND, backlog=1000, pace=1000.0, head=10.0, messages_most=0,
                  messages_over=10 * SECOND, grace=2 * SECOND, cold=20 * SECOND, cold_from=0.2)
 
 
