Repeated withdrawals in the order of the joins that ask for them; a message to all has to fit

Weights 0.3, bindings 0.33, levels 0.45; a repeated withdrawal is owed since the join that asks for it.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -34,7 +34,7 @@
 FULL = 1e6  # calls a second at each proxy: no limit
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
 # Parts of the backlog for what need not wait to share messages, weights, bindings, levels, withdrawals.
-AT_ONCE, WEIGHTS, BINDINGS, LEVELS, OUT = 0.1, 0.25, 0.33, 0.45, 0.97
+AT_ONCE, WEIGHTS, BINDINGS, LEVELS, OUT = 0.1, 0.3, 0.33, 0.45, 0.98
 GATHER = 0.12  # of the grace of drains: withdrawals may wait this long for others
 
 
@@ -64,7 +64,7 @@
 class Backend:
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
-        self.out, self.told = False, 0  # withdrawn from joined proxies; when it last ceased to run
+        self.out, self.told = False, 0  # withdrawn from joined proxies; since when it should be from all
         self.forget()
 
     def forget(self):
@@ -182,9 +182,11 @@
         self.left(p)
         self.proxies[p] = Proxy(zone, typical, self.now, standing)
         self.rebase(zone, typical)
-        self.unsaid = {b for b, x in self.backends.items() if x.out}
-        if self.unsaid:
-            self.say()
+        for b in self.backends.keys() - self.unsaid:
+            if self.backends[b].out:
+                self.backends[b].told = self.now
+                self.unsaid.add(b)
+                self.say()
 
     def say(self):
         """Withdrawals wait a part of the grace for others, as every message costs its head."""
@@ -240,7 +242,6 @@
         proxy = self.proxies.get(p)
         if proxy is None or covers <= 0 or not 0 <= route < len(self.boot.routes):
             return
-        # Smoothed little: refused calls come back at once. The first, partial period starts from typical.
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
@@ -381,8 +382,7 @@
         for b, x in running.items():
             part[b] *= 1.0 - x.dropped / x.tries if x.tries > ENOUGH_TRIES else 1.0
         whole = sum(part.values()) or 1.0
-        # It goes with what runs and how warm that is, at once: in a release of a full fleet, calls have to be
-        # turned away before the cold ones are pushed over.
+        # It goes with what runs and how warm that is, at once, or a release would push over the cold ones.
         width = sum(x.size * self.warmth(x) for x in running.values())
         if self.width and self.fleet is not None:
             self.fleet *= width / self.width
@@ -561,7 +561,7 @@
         if all(p.bound for p in self.proxies.values()):
             self.unsaid.clear()
         gone = [b for b, x in self.backends.items() if x.state != "running" and x.out <= (b in self.unsaid)]
-        gone.sort(key=lambda b: (self.backends[b].out, self.backends[b].told, b))
+        gone.sort(key=lambda b: (self.backends[b].told, b))
         due = turn or self.say_at is not None and self.now >= self.say_at
         rest = self.bar(gone, True, OUT if due else AT_ONCE)
         self.unsaid.intersection_update(rest)
@@ -595,7 +595,7 @@
             wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
                        for t, route, zone in self.layout()
                        if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
-        # First those that hold only what they drew at their start, and the tables with most calls a line.
+        # First those with only what they drew at their start, and the tables with most calls a line.
         for _, _, p, table, route in sorted(wanted):
             proxy = self.proxies[p]
             cost = 2 + len(self.tables[table]) + sum(self.backends[b].out for b in self.tables[table])
