Lines of backends that have none go before bindings; only as much let in as lines can take

New lines may now fill 0.9 of the bound and hold bindings back, changes are ordered by the calls they move, and a route is let in by the part of its rates that has a line in place.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -33,8 +33,8 @@
 IDLE = 0.02  # a reported load under this says nothing of the capacity
 FULL = 1e6  # calls a second at each proxy: no limit
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
-# Parts of the backlog for what need not wait to share messages, weights, bindings, levels, withdrawals.
-AT_ONCE, WEIGHTS, BINDINGS, LEVELS, OUT = 0.1, 0.3, 0.33, 0.45, 0.98
+# Parts of the backlog: cheap orders, weights, bindings, levels, lines of what had none, withdrawals.
+AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, OUT = 0.1, 0.3, 0.33, 0.45, 0.9, 0.98
 GATHER = 0.12  # of the grace of drains: withdrawals may wait this long for others
 
 
@@ -107,7 +107,7 @@
         self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
-        self.changed = False  # the list has
+        self.changed = self.lacking = False  # the list has; backends that run have no line
         # Withdrawals to be said again, when those that wait are due, and whether some are late.
         self.unsaid, self.say_at, self.behind = set(), None, False
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
@@ -154,8 +154,7 @@
 
     def listed(self, how, entries):
         if how == "failed":
-            # Rule 3: against a list that nobody sends any more. Later each time, and by chance, so as not to
-            # add to a jam of the list service.
+            # Rule 3: against a list that nobody sends any more; later each time, as it may be jammed.
             self.asks += 1
             delay = min(self.boot.ask_within // 4, self.boot.cycle * 2 ** min(self.asks, 4) // 4)
             self.later(int(delay * (0.5 + self.chance())), lambda: self.out.watch())
@@ -202,9 +201,8 @@
             self.rebase(proxy.zone, -proxy.calls())
 
     def rebase(self, zone, change):
-        """What is known of the fleet is the part that the joined proxies use. It moves with them at once, or
-        a dead coordinator's proxies would look like a surge, and those that left like a lull. Could do harm
-        if the typical rates that proxies state were far off; the next reports then correct it."""
+        """What is known of the fleet is what the joined proxies use: it moves with them, or a dead
+        coordinator's would look like a surge. Could do harm where typical rates were far off."""
         whole = sum(p.calls() for p in self.proxies.values())
         if whole > 0 and whole > change:
             part = whole / (whole - change)
@@ -268,11 +266,9 @@
         return {b: x for b, x in self.backends.items() if x.state == "running"}
 
     def judge(self):
-        """Shuts out what never answers, whether its tries fail or are not heard of: by the others' answers it
-        owes more than chance can account for. Guards against silent backends, dead ones on a stale list,
-        cut-off zones; late reports stop the others' answers too and are no evidence. Could do harm where a
-        zone's reports alone fall behind: hence the cap, and a trickle (the floor) goes on, of which one
-        answer brings a backend back."""
+        """Shuts out what by the others' answers owes more than chance can account for: silent backends, dead
+        ones on a stale list, cut-off zones; late reports stop the others' answers too. Could do harm where a
+        zone's reports alone fall behind: hence the cap, and one answer to the trickle brings it back."""
         if not self.tally[0]:
             return
         running, demands, due = self.running(), self.demands(), {}
@@ -305,8 +301,7 @@
         return [t + mute * (t / heard if heard else 1 / n) for t in totals]
 
     def first_tries(self):
-        """Demand without the calls that come again because they were refused; with them, the way back from a
-        jam lags by as long as reports and orders take."""
+        """Demand without the calls that come again because refused: with them the way back lags."""
         return [d * (1.0 - again * (1.0 - share)) for d, again, share
                 in zip(self.demands(), self.again, self.shares[0])]
 
@@ -325,15 +320,13 @@
         (tries, dropped, answered, taken), self.tally = self.tally, [0] * 4
         new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < self.cycles(SETTLED))
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
-            # Proxies that have just come are in the demand before they are in the reports: a mass join would
-            # look like a collapse of what is served. Blind meanwhile.
+            # Proxies that have just come are in the demand before they are in the reports.
             return
         running = self.running().values()
         for x in running:
             if all(self.now - at > self.cycles(0) for _, at in x.served.values()):
                 x.tries, x.dropped = x.tries / 2, x.dropped / 2
             for zone, known in x.served.items():
-                # No try, no line: in a spell in which others were heard, that zone has met nothing there.
                 known[0] *= 0.5 ** (1 / self.spell) if self.now - known[1] > self.cycles(0) else 1.0
         served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
@@ -362,9 +355,8 @@
         return max(whole - others, mine, 0.01) if others else max(whole, 0.01)
 
     def capacities(self):
-        """What each running backend can take now: its part of what the fleet can. The parts are the reported
-        capacities, else size over answer time, the inverse of the load that a call brings. Unheard ones
-        count as average for their size among their kind."""
+        """What each running backend can take now, as its part of what the fleet can: by reported capacities,
+        else size over answer time. Unheard ones count as average for their size among their kind."""
         running, part = self.running(), {}
         reports = any(x.busy for x in running.values())
         for kind in {x.kind for x in running.values()}:
@@ -436,8 +428,8 @@
             self.fleet, fit = sum(capacity.values()), 1.0
         grants = wants
         if fit > 1.0:
-            # Too much for all: what each route may have, the important ones first. The multipliers of it are
-            # dropped: a route that gets all it asks for is bound by no backend and would keep stale ones.
+            # What each route may have, the important ones first. Its multipliers are dropped: a route that
+            # gets all it asks for is bound by no backend and would keep stale ones.
             rates, _ = self.fill(wants, weights, capacity)
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
             fit = self.fit(grants, capacity)
@@ -449,7 +441,6 @@
             mine = [t for t in wants if self.route_of(t) == route]
             if mine:
                 part = sum(grants[t] for t in mine) / sum(wants[t] for t in mine)
-                # Allocation over the demand at that share: the more is let in, the less comes again.
                 again = self.again[route]
                 self.granted[route] = sum(grants[t] for t in mine)
                 self.share[route] = 1.0 if part > 1.0 - FINE else part * (1 - again) / (1 - again * part)
@@ -473,8 +464,7 @@
         return dict(zip(tables, rates)), dict(zip(tables, thetas))
 
     def floored(self, theta):
-        """The design's floor, a tenth of the even share, which keeps a trickle going to what is shut out.
-        Rule 4: cold backends, to which a tenth may be too much, get their part and no more."""
+        """The design's floor, a trickle to what is shut out. Rule 4: cold ones get their part and no more."""
         even = FLOOR / len(theta)
         raised = {b: max(t, min(even, self.cold.get(b, even))) for b, t in theta.items()}
         total = sum(raised.values()) or 1.0
@@ -536,21 +526,24 @@
     def push(self, turn):
         """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered for the
         turn, withdrawals for a part of their grace. New lines go at once where that costs little."""
-        changes, unplaced = [], set()
-        for table, _, _ in self.layout():
+        changes, unplaced, demands = [], set(), self.demands()
+        for table, route, _ in self.layout():
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
+            calls = demands[route] / max(len(theta), 1)
             bare = not any(self.backends[b].state == "running" and not self.backends[b].out for b in lines)
             for b, t in theta.items():
                 weight, old = float(f"{t * len(theta):.3g}"), lines.get(b, 0.0)
                 if abs(weight - old) > CHANGED * old:
                     order = 0 if bare else 1 if old == 0.0 or self.backends[b].out else 2
-                    changes.append((order, -abs(weight - old), table, b, weight))
+                    changes.append((order, -abs(weight - old) * calls, table, b, weight))
             changes.extend((3, 0.0, table, b, 0.0) for b in lines if theta and b not in theta)
+        self.lacking = False
         for order, _, table, b, weight in sorted(changes):
             users = self.users(table)
-            part = WEIGHTS if turn else AT_ONCE if order < 2 else 0.0
+            part = (NEW if order < 2 else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
             if order and not self.fits(users, part):
                 unplaced.add(b)  # and so not let in again either
+                self.lacking = self.lacking or order < 2
                 continue
             self.tables[table][b] = weight
             if not weight:
@@ -570,26 +563,34 @@
             self.later(self.boot.cycle // 10, lambda: setattr(self, "changed", True))
         self.bar(back, False, OUT if turn else AT_ONCE)
         for route in range(len(self.boot.routes)):
-            # For all tables at once, those that proxies still hold from before they are bound included.
+            # For all tables, as proxies may not be bound yet. Rule 4: as much as their lines can take.
             quota, old, proxies = self.quota(route), self.levels.get(route, -1.0), self.proxies.values()
+            quota = round(quota * self.reached(route), 3)
             moved = turn and (abs(quota - old) > FINE * old or quota == 1.0 != old)
             if old < 0.0 or moved and self.fits(proxies, LEVELS):
                 self.levels[route] = quota
                 self.out.admit(None, (route,), quota, PROOF)
                 self.charge(proxies)
 
+    def reached(self, route):
+        """The part of a route's rates that is meant for backends with a line that is not withdrawn."""
+        part, whole = 0.0, 0.0
+        for table, r, _ in self.layout():
+            for b, t in self.theta.get(table, {}).items() if r == route else ():
+                whole += t
+                part += t if b in self.tables[table] and not self.backends[b].out else 0.0
+        return part / whole if part < (1.0 - FINE) * whole else 1.0
+
     def join(self):
-        """Binds proxies to the shared tables, those that come with older ones included, before all else
-        that waits: they are then under this list and these withdrawals alone."""
-        if all(len(p.bound) == len(self.tables) for p in self.proxies.values()):
-            return
+        """Binds proxies to the shared tables: they are then under these lines and withdrawals alone."""
+        if self.lacking or all(len(p.bound) == len(self.tables) for p in self.proxies.values()):
+            return  # a table that lacks what runs is of little use
         demands = self.demands()
         out, wanted = sum(x.out for x in self.backends.values()), []
         for p, proxy in self.proxies.items():
             early = self.now - proxy.since < self.cycles(PATIENCE)
             if not proxy.standing and self.fleet is None and early and out < len(self.backends) / 2:
-                # Knowing nothing (a start after a crash), what one that knew has laid is better, levels
-                # included. Withdrawals hold for it; not where they may have left it bare.
+                # After a crash, what one that knew has laid is better; not where it may be bare.
                 continue
             calls = proxy.calls()
             wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
