A small table for proxies that wait while much has gone; bindings after withdrawals

Where a fifth of the known backends has gone, they get a table of twelve warm backends for all their routes, a tenth of a binding's lines. Bindings pause while withdrawals wait. It also guards mass deaths; harm: it crowds its twelve.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -23,7 +23,7 @@
 ENOUGH_TRIES = 4  # under which losses of a backend are chance
 DRAIN = 0.85  # of the served rate: the least that a slow fleet is given, so that queues shorten
 PATIENCE = 2  # cycles, and a spell, from one drop of the fleet's capacity to the next
-AGAIN = 0.4  # part of the refused calls that come again, before it is learned
+AGAIN = 0.4  # part of the refused calls that come again
 SETTLED = 1.5  # cycles, and a spell, after which a proxy that has joined is in the reports in full
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT = 8  # answers that must be missing before a backend counts as one that never answers
@@ -34,7 +34,8 @@
 FULL = 1e6  # calls a second at each proxy: no limit
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
 # Parts of the backlog: cheap orders, weights, bindings, levels, lines of what had none, withdrawals.
-AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, OUT = 0.1, 0.3, 0.33, 0.45, 0.9, 0.98
+AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, OUT = 0.1, 0.3, 0.33, 0.45, 0.5, 0.98
+AT_RISK, REFUGE = 0.2, 12  # part of the known backends gone, backends in the table for proxies that wait
 GATHER = 0.12  # of the grace of drains: withdrawals may wait this long for others
 
 
@@ -84,7 +85,7 @@
         self.zone, self.typical, self.since = zone, typical, now
         self.standing = standing  # it holds only the tables that it drew at its start
         self.usage = {}  # route -> calls a second
-        self.bound = set()  # tables
+        self.bound, self.sheltered = set(), False  # tables
         self.cost = 0  # lines that this round has put into its message
         self.sent = []  # when messages were written, within the counted span
 
@@ -97,19 +98,18 @@
         self.boot, self.seed, self.draws = bootstrap, seed, 0
         self.backends, self.proxies = {}, {}
         self.tables, self.levels = {}, {}  # table -> {backend: weight}, route -> level: as sent
+        self.refuge = []  # backends in the table for proxies that wait
         self.theta = {}  # table -> {backend: multiplier}
         self.cold = {}  # cold backend -> its part of the fleet, which no floor lifts
         self.share = [1.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
-        self.granted, self.calm = [0.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
-        self.again = [AGAIN] * len(bootstrap.routes)  # part of the refused calls that come again
+        self.granted = [0.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 4  # of one turn's reports: tries, dropped, answered, time taken by answers
         self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
         self.changed = self.lacking = False  # the list has; backends that run have no line
-        # Withdrawals to be said again, when those that wait are due, and whether some are late.
-        self.unsaid, self.say_at, self.behind = set(), None, False
+        self.unsaid, self.say_at, self.behind = set(), None, False  # withdrawals: to repeat, due, late
         self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
         self.width = 0.0  # size of what runs, cold ones in part
         self.strained, self.dropped_at = False, 0  # the fleet is slow; its capacity's last drop
@@ -130,7 +130,7 @@
         if turn:
             self.judge()
             self.learn()
-            self.learn_again()
+            self.shares = [*self.shares[1:], list(self.share)]
         if turn or self.changed:
             self.decide()
             self.push(turn)
@@ -143,21 +143,17 @@
         self.out.wake(self.now + delay, DUE)
 
     def cycles(self, lag):
-        """A spell, and `lag` cycles for orders and reports on their way."""
         return (lag + self.spell) * self.boot.cycle
 
-    def chance(self):
-        self.draws += 1
-        return zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
-
     # What comes in
 
     def listed(self, how, entries):
         if how == "failed":
-            # Rule 3: against a list that nobody sends any more; later each time, as it may be jammed.
             self.asks += 1
             delay = min(self.boot.ask_within // 4, self.boot.cycle * 2 ** min(self.asks, 4) // 4)
-            self.later(int(delay * (0.5 + self.chance())), lambda: self.out.watch())
+            self.draws += 1
+            chance = zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
+            self.later(int(delay * (0.5 + chance)), lambda: self.out.watch())
             return
         self.asks, self.changed = 0, True
         for b, state, zone, kind, size, started in entries:
@@ -207,7 +203,6 @@
         if whole > 0 and whole > change:
             part = whole / (whole - change)
             self.fleet, self.before = self.fleet and self.fleet * part, self.before * part
-            self.calm = [calm * part for calm in self.calm]
         zoned = sum(p.calls() for p in self.proxies.values() if p.zone == zone)
         for x in self.backends.values():
             if zone in x.served and zoned > change:
@@ -231,7 +226,6 @@
             x.quiet, x.missing = 0, 0.0
             x.shut = False
         if load and load[0] > IDLE:
-            # Served rate over reported load, as a ratio of sums: a nearly idle backend's report says little.
             hold = keep ** 0.25
             x.busy, x.rate = hold * x.busy + load[0] * self.warmth(x), hold * x.rate + load[1]
             x.heard = hold * x.heard + 1.0
@@ -302,26 +296,14 @@
 
     def first_tries(self):
         """Demand without the calls that come again because refused: with them the way back lags."""
-        return [d * (1.0 - again * (1.0 - share)) for d, again, share
-                in zip(self.demands(), self.again, self.shares[0])]
-
-    def learn_again(self):
-        for route, demand in enumerate(self.demands()):
-            share = self.shares[0][route]
-            if min(s[route] for s in self.shares) >= 1.0:
-                self.calm[route] = (self.calm[route] + demand) / 2 if self.calm[route] else demand
-            elif share < 0.8 and self.calm[route] and demand > 0:
-                seen = min(max((1.0 - self.calm[route] / demand) / (1.0 - share), 0.0), 0.75)
-                self.again[route] += (seen - self.again[route]) / 4
-        self.shares = [*self.shares[1:], list(self.share)]
+        return [d * (1.0 - AGAIN * (1.0 - share)) for d, share in zip(self.demands(), self.shares[0])]
 
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
         (tries, dropped, answered, taken), self.tally = self.tally, [0] * 4
         new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < self.cycles(SETTLED))
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
-            # Proxies that have just come are in the demand before they are in the reports.
-            return
+            return  # those that have just come are in the demand before they are in the reports
         running = self.running().values()
         for x in running:
             if all(self.now - at > self.cycles(0) for _, at in x.served.values()):
@@ -331,10 +313,10 @@
         served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
-        # Slowness alone tells a full fleet: fewer calls do not mend lost answers or failing connections, and
-        # backends that refuse as full are slow as well. Could do harm where waiting rooms are very short.
+        # Slowness alone tells a full fleet: fewer calls mend no losses, and full backends that refuse are
+        # slow as well. Could do harm where waiting rooms are very short.
         if took > slow_at:
-            # Drops once, then not until the effect can have been reported. What is served now can be done.
+            # Once, then not until it can have been reported. What is served now can be done.
             fleet = self.fleet or served
             if not self.strained:
                 self.before = fleet * self.level
@@ -344,7 +326,7 @@
         elif self.fleet is None:
             self.fleet = served / TARGET
         else:
-            # Half of the way back to what was carried before; then by the tenth, by more if far from slow.
+            # Half-way back to what was carried before; then by the tenth, more if far from slow.
             clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
             growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
@@ -374,7 +356,6 @@
         for b, x in running.items():
             part[b] *= 1.0 - x.dropped / x.tries if x.tries > ENOUGH_TRIES else 1.0
         whole = sum(part.values()) or 1.0
-        # It goes with what runs and how warm that is, at once, or a release would push over the cold ones.
         width = sum(x.size * self.warmth(x) for x in running.values())
         if self.width and self.fleet is not None:
             self.fleet *= width / self.width
@@ -423,17 +404,15 @@
             return
         fit = self.fit(wants, capacity)
         if fit > 1.0 and not self.strained and not self.before:
-            # That is what was asked, not what can be done: nothing is turned away until slow.
             capacity = {b: c * fit for b, c in capacity.items()}
             self.fleet, fit = sum(capacity.values()), 1.0
         grants = wants
         if fit > 1.0:
-            # What each route may have, the important ones first. Its multipliers are dropped: a route that
-            # gets all it asks for is bound by no backend and would keep stale ones.
+            # What each route may have, the important first. Its multipliers would be stale: a route that gets
+            # all it asks for is bound by no backend.
             rates, _ = self.fill(wants, weights, capacity)
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
             fit = self.fit(grants, capacity)
-        # Where it goes: all filled to a common level just above what it takes, so that each one binds.
         self.level = min(1.0, max(fit, 1e-6))
         _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
         self.theta.update(thetas)
@@ -441,9 +420,8 @@
             mine = [t for t in wants if self.route_of(t) == route]
             if mine:
                 part = sum(grants[t] for t in mine) / sum(wants[t] for t in mine)
-                again = self.again[route]
                 self.granted[route] = sum(grants[t] for t in mine)
-                self.share[route] = 1.0 if part > 1.0 - FINE else part * (1 - again) / (1 - again * part)
+                self.share[route] = 1.0 if part > 1.0 - FINE else part * (1 - AGAIN) / (1 - AGAIN * part)
 
     def fit(self, wants, capacity):
         """The part of the capacity that the wants take, with a little slack for the multiplier loop to
@@ -563,7 +541,7 @@
             self.later(self.boot.cycle // 10, lambda: setattr(self, "changed", True))
         self.bar(back, False, OUT if turn else AT_ONCE)
         for route in range(len(self.boot.routes)):
-            # For all tables, as proxies may not be bound yet. Rule 4: as much as their lines can take.
+            # For all tables, as some are not bound yet. Rule 4: as much as their lines can take.
             quota, old, proxies = self.quota(route), self.levels.get(route, -1.0), self.proxies.values()
             quota = round(quota * self.reached(route), 3)
             moved = turn and (abs(quota - old) > FINE * old or quota == 1.0 != old)
@@ -574,37 +552,59 @@
 
     def reached(self, route):
         """The part of a route's rates that is meant for backends with a line that is not withdrawn."""
-        part, whole = 0.0, 0.0
-        for table, r, _ in self.layout():
-            for b, t in self.theta.get(table, {}).items() if r == route else ():
-                whole += t
-                part += t if b in self.tables[table] and not self.backends[b].out else 0.0
+        rates = [(t, b in self.tables[table] and not self.backends[b].out) for table, r, _ in self.layout()
+                 if r == route for b, t in self.theta.get(table, {}).items()]
+        whole, part = sum(t for t, _ in rates), sum(t for t, there in rates if there)
         return part / whole if part < (1.0 - FINE) * whole else 1.0
 
+    def shelter(self, waiting):
+        """Rule 1: a release or mass death takes away what proxies drew at their start. Those that wait for a
+        binding get a small table of able backends meanwhile. Could do harm by crowding these."""
+        everywhere = set.intersection(*(set(self.paths(r, None)) for r in range(len(self.boot.routes))))
+        able = {b for b in everywhere if self.warmth(self.backends[b]) >= 1.0 and not self.backends[b].out}
+        table = len(self.boot.routes) * (1 + self.boot.zones)  # the first that layout leaves free
+        users = [p for p in self.proxies.values() if p.sheltered]
+        fresh = sorted(able - set(self.refuge), key=lambda b: (-self.theta.get(0, {}).get(b, 0.0), b))
+        for b in fresh[:REFUGE] if 2 * len(able & set(self.refuge)) < REFUGE else ():
+            if self.fits(users, NEW):
+                self.out.line(table, b, 1.0)
+                self.charge(users)
+                self.refuge.append(b)
+        for p, routes in waiting.items():
+            proxy, cost = self.proxies[p], self.binding(self.refuge)
+            routes = [r for r in routes if not self.boot.routes[r].own_zone]
+            if routes and self.refuge and not proxy.sheltered and self.fits([proxy], NEW, cost):
+                self.out.bind(p, table, routes)
+                proxy.sheltered = True
+                self.charge([proxy], cost)
+
+    def binding(self, lines):
+        return 1 + len(self.boot.routes) + len(lines) + sum(self.backends[b].out for b in lines)
+
     def join(self):
-        """Binds proxies to the shared tables: they are then under these lines and withdrawals alone."""
-        if self.lacking or all(len(p.bound) == len(self.tables) for p in self.proxies.values()):
-            return  # a table that lacks what runs is of little use
+        """Binds proxies to the shared tables, after withdrawals and lines of what has none."""
+        if all(len(p.bound) == len(self.tables) for p in self.proxies.values()):
+            return
         demands = self.demands()
-        out, wanted = sum(x.out for x in self.backends.values()), []
+        out, wanted, waiting = sum(x.out for x in self.backends.values()), [], {}
         for p, proxy in self.proxies.items():
             early = self.now - proxy.since < self.cycles(PATIENCE)
             if not proxy.standing and self.fleet is None and early and out < len(self.backends) / 2:
-                # After a crash, what one that knew has laid is better; not where it may be bare.
-                continue
+                continue  # after a crash, what one that knew has laid is better
             calls = proxy.calls()
             wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
                        for t, route, zone in self.layout()
                        if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
-        # First those with only what they drew at their start, and the tables with most calls a line.
         for _, _, p, table, route in sorted(wanted):
-            proxy = self.proxies[p]
-            cost = 2 + len(self.tables[table]) + sum(self.backends[b].out for b in self.tables[table])
-            if not self.fits([proxy], BINDINGS, cost):
-                break
+            proxy, cost = self.proxies[p], self.binding(self.tables[table])
+            if self.lacking or self.say_at is not None or not self.fits([proxy], BINDINGS, cost):
+                waiting.setdefault(p, []).append(route)
+                continue
             self.out.bind(p, table, (route,))
             proxy.bound.add(table)
             self.charge([proxy], cost)
+        if waiting and self.say_at is None and out > AT_RISK * len(self.backends):
+            self.shelter(waiting)
 
     def post(self):
         written = {p: proxy.cost + self.boot.head + 1 for p, proxy in self.proxies.items() if proxy.cost}
