--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -120,3 +120,28 @@
     scene.join(1, after=0.1)
     scene.list((50, "gone", None), how="changes", after=0.1)
     same("nonsense", scene)
+
+
+def test_lines_that_take_several_turns_to_come_round_shut_nobody_out():
+    scene = Scene(verbs=("log", "admit"))
+    fleet = list(range(30))
+    scene.list(*((b, "running", None) for b in fleet))
+    scene.join(*range(40), typical=10.0)
+    scene.say("a third of the lines a turn, each of three seconds; backend 29 answers nothing")
+    for turn in range(16):
+        covers = 1_000_000 * min(turn + 1, 3)
+        scene.tell(*(("met", b, 0, 40, 0, 100_000, covers, None) for b in fleet[turn % 3::3] if b != 29),
+                   *(("came", p, r, 15, covers) for p in range(turn % 3, 40, 3) for r in (0, 1)), after=1.0)
+    scene.say(f"a spell is {scene.planner.spell:.1f} cycles")
+    same("several_turns", scene)
+
+
+def test_where_much_has_gone_proxies_that_wait_get_a_small_table():
+    scene = Scene(verbs=(), backlog=700, head=1.0, acknowledge=False)
+    scene.list(*((b, "running", None) for b in range(6)))
+    scene.join(*range(20), typical=10.0)
+    scene.verbs = ("bind", "withdraw", "line")
+    scene.say("two of six are gone; eleven of twenty proxies are bound, nothing is acknowledged")
+    scene.list(*((b, "running", None) for b in range(4)), after=0.3)
+    scene.tell(after=0.4)
+    same("release", scene)
