--- /dev/null
+++ b/cranecleat/__main__.py
@@ -0,0 +1,6 @@
+"""Starts one coordinator."""
+import sys
+
+from cranecleat.service.run import main
+
+sys.exit(main())
--- /dev/null
+++ b/cranecleat/door.py
@@ -0,0 +1,82 @@
+"""What every front does at its door: units into microseconds, ids into small indices, the start-up figures
+into a `Bootstrap`. Nothing here decides anything."""
+
+from cranecleat.interface import Bootstrap, Route
+
+MICRO = 1_000_000
+ADMISSIONS = ("fraction", "per_second", "silent")
+
+
+class Malformed(ValueError):
+    """The front sent something that the adapter cannot read; the text says what."""
+
+
+def micros(seconds):
+    return round(seconds * MICRO)
+
+
+def indices(names, all_names):
+    """A restriction to named zones or kinds, given as names or indices, as a set of indices."""
+    if not names:
+        return None
+    return frozenset(all_names.index(n) if isinstance(n, str) else int(n) for n in names)
+
+
+def choice(table, value, what):
+    if value not in table:
+        raise Malformed(f"unknown {what} {value!r}")
+    return table[value] if isinstance(table, dict) else value
+
+
+def bootstrap(info):
+    """Decodes the settings of a start message; a missing figure is named in the error."""
+    try:
+        special, rules = info["specifics"], info["rules"]
+        zones, kinds = info["localities"], info.get("skus", [])
+        own_zone = special.get("zoneBound", [])
+        routes = tuple(
+            Route(
+                importance=float(c["credit"]),
+                slo=micros(c["goalTime"]),
+                own_zone=bool(own_zone[i]) if i < len(own_zone) else False,
+                kinds=indices(c.get("onlyKinds"), kinds),
+                zones=indices(c.get("onlyZones"), zones),
+            )
+            for i, c in enumerate(info["requestClasses"])
+        )
+        return Bootstrap(
+            routes=routes,
+            zones=len(zones),
+            coordinators=int(info.get("groupSize", 1)),
+            must_ask=info["membershipMode"] == "ask",
+            ask_within=micros(rules.get("askWithin", 10)),
+            admission=choice(ADMISSIONS, special["admission"], "admission"),
+            cycle=micros(special["cycle"]),
+            backlog=int(special["backlog"]),
+            pace=float(special["egressPerS"]),
+            head=float(special["perMessage"]),
+            messages_most=int(special.get("messagesMost", 0)),
+            messages_over=micros(special.get("countedOver", 10)),
+            grace=micros(rules["stopSendingWithin"]),
+            cold=micros(rules["cold"]),
+            cold_from=float(rules["coldFrom"]),
+        )
+    except KeyError as missing:
+        raise Malformed(f"the start message lacks {missing.args[0]!r}") from None
+    except Malformed:
+        raise
+    except (TypeError, ValueError, AttributeError, IndexError) as wrong:
+        raise Malformed(f"the start message cannot be read: {wrong}") from None
+
+
+class Names:
+    """Backend ids and small indices, for one instance."""
+
+    def __init__(self):
+        self.ids, self.index = [], {}
+
+    def __call__(self, name):
+        if name not in self.index:
+            self.index[name] = len(self.ids)
+            self.ids.append(name)
+        return self.index[name]
--- /dev/null
+++ b/cranecleat/memory/streams.py
@@ -0,0 +1,142 @@
+"""Who is joined, what each stream is bound to and was told; turns a round of decisions into messages.
+
+The planner speaks of tables that many proxies use; a stream knows only its own. A round's decisions are kept
+until `messages` and go out as what has to change at each proxy, the same bytes made once for many of them.
+"""
+
+from cranecleat.protocol.lines import assign, join
+
+
+class Stream:
+    def __init__(self, connection, brought):
+        self.connection = connection
+        self.bound = {}  # route -> table
+        self.shut = set()  # backends that were shut out on this stream
+        self.brought = brought  # and those that it may still shut out from earlier ones
+
+
+class Streams:
+    """The planner's `Writer`."""
+
+    def __init__(self, names, routes, wake, watch, log):
+        self.names, self.routes = names, routes  # backends' names; routes' names
+        self.wake, self.watch, self.say = wake, watch, log
+        self.joined, self.ever = {}, {}  # proxy -> stream; proxy -> backends that it was ever told to shut out
+        self.tables, self.out = {}, set()  # table -> {backend: weight}; backends withdrawn
+        self.levels = {}  # (table or None for all, route) -> (level, tries)
+        self.clear()
+
+    def clear(self):
+        """Forgets what this round has changed."""
+        self.lines, self.fresh, self.moved, self.admitted = {}, {}, set(), set()
+        self.stamp, self.made = None, {}
+
+    # Who is joined
+
+    def join(self, proxy, connection, standing):
+        """Returns the stream that this one replaces, and how many backends the proxy may come with shut out.
+        One that holds ordered tables and is not known here comes from an earlier life of the coordinator: it may
+        shut out anything."""
+        old = self.joined.get(proxy)
+        if proxy not in self.ever:
+            self.ever[proxy] = set() if standing else set(range(len(self.names.ids)))
+        self.joined[proxy] = Stream(connection, set(self.ever[proxy]))
+        return old, len(self.ever[proxy])
+
+    def leave(self, proxy, connection):
+        """Whether that was the proxy's stream: the end of one that was replaced means nothing."""
+        stream = self.joined.get(proxy)
+        current = stream is not None and stream.connection is connection
+        if current:
+            del self.joined[proxy]
+        return current
+
+    # What the planner decides
+
+    def line(self, table, backend, weight):
+        lines = self.tables.setdefault(table, {})
+        lines[backend] = weight
+        if not weight:
+            del lines[backend]
+        self.lines.setdefault(table, {})[backend] = weight
+
+    def bind(self, proxy, table, routes):
+        if proxy in self.joined:
+            for route in routes:
+                self.joined[proxy].bound[route] = table
+                self.fresh.setdefault(proxy, set()).add(route)
+
+    def withdraw(self, backend, out):
+        (self.out.add if out else self.out.discard)(backend)
+        self.moved.add(backend)
+
+    def admit(self, table, routes, level, tries):
+        for route in routes:
+            self.levels[table, route] = level, tries
+            self.admitted.add((table, route))
+
+    def mark(self, number):
+        self.stamp = number
+
+    def log(self, text):
+        self.say(text)
+
+    # What each proxy has to be told
+
+    def messages(self):
+        """The round's messages as (connection, bytes), at most one a proxy."""
+        for proxy, stream in self.joined.items():
+            parts = self.parts(stream, self.fresh.get(proxy, ()))
+            if parts:
+                if self.stamp is not None:
+                    parts.append(self.once(assign, stamp=self.stamp))
+                yield stream.connection, self.once(join, tuple(parts))
+        self.clear()
+
+    def once(self, make, *values, **named):
+        """The same bytes are made once a round, however many proxies they go to."""
+        key = make, values, tuple(named.items())
+        if key not in self.made:
+            self.made[key] = make(*values, **named)
+        return self.made[key]
+
+    def parts(self, stream, fresh):
+        parts, groups = [], {}
+        for route, table in sorted(stream.bound.items()):
+            groups.setdefault((route in fresh, table), []).append(route)
+        for (new, table), routes in groups.items():
+            if new or table in self.lines:
+                parts.append(self.once(self.rows, table, tuple(routes), new))
+        levels = {}
+        for route in range(len(self.routes)):
+            table = stream.bound.get(route)
+            if route in fresh or {(None, route), (table, route)} & self.admitted:
+                levels.setdefault(self.level(table, route), []).append(route)
+        parts += [self.once(assign, self.named(routes), level=level) for level, routes in levels.items() if level]
+        return parts + self.shutting(stream, bool(fresh))
+
+    def rows(self, table, routes, new):
+        lines = self.tables.get(table, {}) if new else self.lines[table]
+        return assign(self.named(routes), new, tuple((self.names.ids[b], w) for b, w in lines.items()))
+
+    def named(self, routes):
+        return tuple(self.routes[route] for route in routes)
+
+    def level(self, table, route):
+        """Where a level for all and one of the table are set the lower one holds, with the table's tries."""
+        both = [self.levels[key] for key in ((None, route), (table, route)) if key in self.levels]
+        return (min(level for level, _ in both), both[-1][1]) if both else None
+
+    def shutting(self, stream, bound):
+        """A proxy that was bound keeps to what is withdrawn here: the rest that it may hold is let back."""
+        held = {b for table in set(stream.bound.values()) for b in self.tables.get(table, ())}
+        loose = len(stream.bound) < len(self.routes)  # for some routes its lines are not known
+        out = sorted(b for b in self.out - stream.shut if b in held or loose and b in self.moved)
+        back = sorted(b for b in (stream.shut | stream.brought) - self.out if bound or b in self.moved)
+        stream.shut.update(out)
+        stream.shut.difference_update(back)
+        stream.brought.difference_update(back)
+        for proxy_ever in (self.ever[p] for p, s in self.joined.items() if s is stream and out):
+            proxy_ever.update(out)
+        return [self.once(assign, **{word: tuple(self.names.ids[b] for b in which)})
+                for word, which in (("drop", out), ("undrop", back)) if which]
--- /dev/null
+++ b/cranecleat/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""What is spoken on the wire: parsers, encoders and the connections that carry them."""
--- /dev/null
+++ b/cranecleat/service/coordinator.py
@@ -0,0 +1,96 @@
+"""The coordinator: what came in goes to the planner once a round, what it decides goes to the streams."""
+
+from cranecleat.door import Names
+from cranecleat.memory.pool import Pool
+from cranecleat.memory.streams import Streams
+from cranecleat.policy import Planner
+from cranecleat.protocol.connections import BUFFER, HALF_READ, STRANGERS, Incoming
+from cranecleat.protocol.lines import Reader
+from cranecleat.protocol.reasons import Reason
+from cranecleat.protocol.registry import Registry
+
+
+class Coordinator:
+    """What all connections share. `failed` is called with what the planner raised."""
+
+    def __init__(self, station, clock, log, failed):
+        self.station, self.clock, self.log, self.failed = station, clock, log, failed
+        self.names, self.kinds = Names(), station.kinds
+        routes = {name: index for index, name in enumerate(station.routes)}
+        self.reader = Reader(station.zones, routes, station.proxies, self.names)
+        self.pool = Pool(BUFFER, max(1, int(station.memory * HALF_READ) // BUFFER))
+        self.connections, self.strangers, self.stopping = set(), {}, False
+        self.registry = Registry(self, station.discovery, station.known[0], station.seed)
+        self.planner = Planner(station.bootstrap, station.seed)
+        self.streams = Streams(self.names, station.routes, self.wake, lambda: None,
+                               lambda text: log.info("planner", says=text))
+        self.arrivals, self.waiting, self.last, self.longest = [], False, 0, 0
+
+    def start(self):
+        """The planner knows the list as it was last had before anybody is answered."""
+        self.listed("held", self.station.known[1])
+        self.round()
+
+    def accept(self):
+        connection = Incoming(self)
+        self.connections.add(connection)
+        return connection
+
+    # What connections bring
+
+    def told(self, call):
+        if call:
+            self.arrivals.append(call)
+            if not self.waiting:
+                self.waiting = True
+                self.clock.at(max(self.clock.now(), self.last + self.station.round), self.round)
+
+    def listed(self, scope, entries):
+        entries = [(self.names(name), *rest) for name, *rest in entries]
+        for backend, state, *_ in entries:
+            self.log.info("listed", scope=scope, backend=backend, uid=self.names.ids[backend], state=state)
+        self.told(("listed", scope, entries))
+
+    def joined(self, connection, zone, typical, standing):
+        old, brought = self.streams.join(connection.number, connection, standing)
+        if old:
+            old.connection.end(Reason.REPLACED)
+        self.log.info("joined", proxy=connection.number, zone=zone, cold=standing, brought=brought)
+        self.told(("joined", connection.number, zone, typical, standing))
+
+    def lost(self, connection):
+        self.connections.discard(connection)
+        self.strangers.pop(connection, None)
+        if connection.number is not None and self.streams.leave(connection.number, connection):
+            self.told(("left", connection.number))
+
+    def make_room(self):
+        """Strangers may come in hundreds: the oldest of them go, so that proxies and collectors keep their place."""
+        while len(self.strangers) > max(1, int(self.station.descriptors * STRANGERS)):
+            oldest = next(iter(self.strangers))
+            del self.strangers[oldest]
+            oldest.end(Reason.CROWDED)
+
+    # Rounds
+
+    def wake(self, at, number):
+        self.clock.at(at, lambda: self.told(("woke", number)))
+
+    def round(self):
+        self.waiting = False
+        if self.stopping:
+            return
+        calls, self.arrivals, self.last = self.arrivals, [], self.clock.now()
+        try:
+            self.planner.round(self.last, calls, self.streams)
+        except Exception as failure:  # a planner that has failed would lie from now on
+            self.failed(failure)
+            return
+        for connection, message in list(self.streams.messages()):
+            connection.write(message)
+        self.longest = max(self.longest, self.clock.now() - self.last)
+
+    def stop(self):
+        self.stopping = True
+        for connection in list(self.connections):
+            connection.end(Reason.STOPPING)
--- /dev/null
+++ b/cranecleat/service/run.py
@@ -0,0 +1,61 @@
+"""Start and stop of one coordinator."""
+
+import asyncio
+import gc
+import os
+import signal
+import sys
+import time
+
+from cranecleat.door import Malformed
+from cranecleat.service.clock import Clock
+from cranecleat.service.coordinator import Coordinator
+from cranecleat.service.logs import open_log
+from cranecleat.service.start import read
+
+STARTED, FAILED, CANNOT_START = 0, 1, 2  # exit codes
+
+
+async def serve(station, log):
+    """Runs until a signal or a failure of the planner; returns the exit code."""
+    loop = asyncio.get_running_loop()
+    ended = loop.create_future()
+
+    def end(code):
+        if not ended.done():
+            ended.set_result(code)
+
+    def failed(failure):
+        log.error("planner_failed", exc_info=failure)
+        end(FAILED)
+
+    def stopped(number):
+        log.info("stopping", signal=signal.Signals(number).name)
+        end(STARTED)
+
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopped, number)
+    coordinator = Coordinator(station, Clock(loop, time.time()), log, failed)
+    coordinator.start()
+    try:
+        server = await loop.create_server(coordinator.accept, *station.listen, backlog=256)
+    except OSError as failure:
+        raise Malformed(f"cannot listen on {':'.join(map(str, station.listen))}: {failure.strerror}") from None
+    coordinator.registry.dial()
+    gc.freeze()
+    log.info("serving", listen=":".join(map(str, station.listen)), backends=len(coordinator.names.ids))
+    code = await ended
+    server.close()
+    coordinator.stop()
+    await asyncio.sleep(0)  # lets the connections log their ends
+    log.info("stopped", code=code, longest_round_us=coordinator.longest)
+    return code
+
+
+def main():
+    try:
+        station = read(os.environ)
+        return asyncio.run(serve(station, open_log(station.name)))
+    except Malformed as wrong:
+        print(f"cranecleat: {wrong}", file=sys.stderr)
+        return CANNOT_START
--- /dev/null
+++ b/cranecleat/service/start.py
@@ -0,0 +1,75 @@
+"""What a coordinator is told at its start, from its configuration and its variables."""
+
+import json
+from dataclasses import dataclass
+
+from cranecleat.door import Malformed, bootstrap, micros
+from cranecleat.interface import Bootstrap
+from cranecleat.protocol.reasons import Unreadable
+from cranecleat.protocol.registry import decode
+
+
+@dataclass(frozen=True, slots=True)
+class Station:
+    """One coordinator's place: its name, its addresses, its limits and the deployment that it serves."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: str
+    memory: int  # bytes
+    descriptors: int
+    round: int  # the least time from one round to the next
+    routes: tuple[str, ...]
+    zones: dict[str, int]
+    kinds: dict[str, int]
+    proxies: int
+    bootstrap: Bootstrap
+    known: tuple[int, list]  # the list as last had: its version and entries
+
+
+def address(text):
+    host, colon, port = str(text).rpartition(":")
+    if not (host and colon and port.isdigit() and 0 < int(port) < 65536):
+        raise Malformed(f"{text!r} is no address:port")
+    return host.strip("[]"), int(port)
+
+
+def read(variables):
+    """The station that the environment describes; what is wrong is named in one line."""
+    path = variables.get("BALANCER_CONFIG")
+    if not path:
+        raise Malformed("BALANCER_CONFIG is not set")
+    try:
+        with open(path, encoding="utf-8") as file:
+            told = json.load(file)
+    except OSError as failure:
+        raise Malformed(f"{path}: {failure.strerror}") from None
+    except (ValueError, RecursionError) as wrong:
+        raise Malformed(f"{path}: not JSON ({wrong})") from None
+    if not isinstance(told, dict):
+        raise Malformed(f"{path}: not an object")
+    for key in ("name", "listen", "discovery"):
+        told[key] = variables.get(f"BALANCER_{key.upper()}") or told.get(key)
+        if not told[key]:
+            raise Malformed(f"{path}: {key!r} is missing")
+    try:
+        info, limits = told["settings"], told["limits"]
+        boot = bootstrap(info)
+        zones = {name: index for index, name in enumerate(info["localities"])}
+        kinds = {name: index for index, name in enumerate(info.get("skus", []))}
+        version, _, entries = decode(told["known"], zones, kinds)
+        return Station(
+            name=str(told["name"]), listen=address(told["listen"]), discovery=address(told["discovery"]),
+            seed=str(told["seed"]), memory=int(limits["memory_mb"] * 2**20), descriptors=int(limits["sockets"]),
+            round=micros(info["round"]), routes=tuple(route["name"] for route in info["requestClasses"]),
+            zones=zones, kinds=kinds, proxies=int(info["specifics"]["proxyCount"]), bootstrap=boot,
+            known=(version, entries))
+    except KeyError as missing:
+        raise Malformed(f"{path}: {missing.args[0]!r} is missing") from None
+    except Unreadable as wrong:
+        raise Malformed(f"{path}: known: {wrong}") from None
+    except Malformed as wrong:
+        raise Malformed(f"{path}: {wrong}") from None
+    except (TypeError, ValueError, AttributeError) as wrong:
+        raise Malformed(f"{path}: {wrong}") from None
--- a/cranecleat/wirehost/host.py
+++ b/cranecleat/wirehost/host.py
@@ -3,8 +3,9 @@
 import json
 from math import isfinite
 
+from cranecleat.door import Malformed, Names, bootstrap, micros
 from cranecleat.policy import Planner
-from cranecleat.wirehost.codec import Actions, Malformed, Names, bootstrap, decode, micros
+from cranecleat.wirehost.codec import Actions, decode
 
 
 class Instance:
