Load reports are read under the names that the lines carry

So no load report was ever read: faulty line lines.py, Words.load, which looked for util and qps alone. Both names are taken now.

--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -35,13 +35,12 @@
 
     def join(self, proxy, connection, standing):
         """Returns the stream that this one replaces, and how many backends the proxy may come with shut out.
-        One that holds ordered tables and is not known here comes from an earlier life of the coordinator: it may
-        shut out anything."""
-        old = self.joined.get(proxy)
-        if proxy not in self.ever:
-            self.ever[proxy] = set() if standing else set(range(len(self.names.ids)))
-        self.joined[proxy] = Stream(connection, set(self.ever[proxy]))
-        return old, len(self.ever[proxy])
+        One that holds ordered tables may have them from another coordinator, or from an earlier life of this
+        one: it may shut out anything."""
+        old, ever = self.joined.get(proxy), self.ever.setdefault(proxy, set())
+        brought = set(ever) if standing else set(range(len(self.names.ids)))
+        self.joined[proxy] = Stream(connection, brought)
+        return old, len(brought)
 
     def leave(self, proxy, connection):
         """Whether that was the proxy's stream: the end of one that was replaced means nothing."""
--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -11,6 +11,7 @@
 MILLI = MICRO // 1000
 FIGURE = re.compile(r"\d{1,18}(\.\d{0,18})?([eE][+-]?\d{1,2})?")
 WHOLE = re.compile(r"\d{1,15}")
+BUSY, SERVED = ("utilization", "util"), ("throughput", "qps")  # a load report's words, as met and as documented
 LARGEST = 1e9  # of any figure: far beyond what a day can hold, far under what overflows
 
 
@@ -82,7 +83,8 @@
             if not colon or not FIGURE.fullmatch(value):
                 raise Unreadable(Reason.BAD_FIGURE, f"{self.kind}: {name}={pair[:40]}")
             report[key] = float(value)
-        return (report["util"], report["qps"]) if {"util", "qps"} <= report.keys() else None
+        busy, served = (next((report[n] for n in words if n in report), None) for words in (BUSY, SERVED))
+        return None if busy is None or served is None else (busy, served)
 
 
 class Reader:
