--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -81,9 +81,9 @@
 
 
 class Proxy:
-    def __init__(self, zone, typical, now, standing):
+    def __init__(self, zone, typical, now, standing, brought):
         self.zone, self.typical, self.since = zone, typical, now
-        self.standing = standing  # it holds only the tables that it drew at its start
+        self.standing, self.brought = standing, brought  # only what it drew at its start; others' withdrawals
         self.usage = {}  # route -> calls a second
         self.bound, self.sheltered = set(), False  # tables
         self.cost = 0  # lines that this round has put into its message
@@ -149,9 +149,8 @@
 
     def listed(self, how, entries):
         if how == "failed":
-            self.asks += 1
+            self.asks, self.draws = self.asks + 1, self.draws + 1
             delay = min(self.boot.ask_within // 4, self.boot.cycle * 2 ** min(self.asks, 4) // 4)
-            self.draws += 1
             chance = zlib.crc32(f"{self.seed}:{self.draws}".encode()) / 2**32
             self.later(int(delay * (0.5 + chance)), lambda: self.out.watch())
             return
@@ -173,9 +172,9 @@
         if any(x.state != "running" and not x.out for x in self.backends.values()):
             self.say()
 
-    def joined(self, p, zone, typical, standing):
+    def joined(self, p, zone, typical, standing, brought=0):
         self.left(p)
-        self.proxies[p] = Proxy(zone, typical, self.now, standing)
+        self.proxies[p] = Proxy(zone, typical, self.now, standing, brought)
         self.rebase(zone, typical)
         for b in self.backends.keys() - self.unsaid:
             if self.backends[b].out:
@@ -527,7 +526,7 @@
             if not weight:
                 del self.tables[table][b]
             self.out.line(table, b, weight)
-            self.charge(users)
+            self.charge(users, 1 + self.backends[b].out)  # its withdrawal may not have been said yet
         back = [b for b, x in self.backends.items() if x.out and x.state == "running" and b not in unplaced]
         if all(p.bound for p in self.proxies.values()):
             self.unsaid.clear()
@@ -571,15 +570,16 @@
                 self.charge(users)
                 self.refuge.append(b)
         for p, routes in waiting.items():
-            proxy, cost = self.proxies[p], self.binding(self.refuge)
+            proxy, cost = self.proxies[p], self.binding(self.refuge, self.proxies[p])
             routes = [r for r in routes if not self.boot.routes[r].own_zone]
             if routes and self.refuge and not proxy.sheltered and self.fits([proxy], NEW, cost):
                 self.out.bind(p, table, routes)
                 proxy.sheltered = True
                 self.charge([proxy], cost)
 
-    def binding(self, lines):
-        return 1 + len(self.boot.routes) + len(lines) + sum(self.backends[b].out for b in lines)
+    def binding(self, lines, proxy):
+        brought = 0 if proxy.bound or proxy.sheltered else proxy.brought  # the first lets them back
+        return 1 + len(self.boot.routes) + len(lines) + sum(self.backends[b].out for b in lines) + brought
 
     def join(self):
         """Binds proxies to the shared tables, after withdrawals and lines of what has none."""
@@ -596,7 +596,7 @@
                        for t, route, zone in self.layout()
                        if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
         for _, _, p, table, route in sorted(wanted):
-            proxy, cost = self.proxies[p], self.binding(self.tables[table])
+            proxy, cost = self.proxies[p], self.binding(self.tables[table], self.proxies[p])
             if self.lacking or self.say_at is not None or not self.fits([proxy], BINDINGS, cost):
                 waiting.setdefault(p, []).append(route)
                 continue
--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -14,7 +14,7 @@
 HALF_READ = 1 / 16  # of the memory limit may hold half-read messages
 UNREAD = 128 << 10  # bytes that a party may leave unread, as PROTOCOL states
 MUTE = 10 * MICRO  # for the first useful message: proxies stall for seconds, strangers say nothing for ever
-STRANGERS = 1 / 4  # of the descriptors may belong to connections without a name
+SHARE = 1 / 4  # of the descriptors may belong to strangers, and as many to collectors
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -81,6 +81,7 @@
     def __init__(self, hub):
         super().__init__(hub)
         self.number, self.use_message = None, self.greet
+        self.asked = False  # for a sign of life, since it was last looked at
 
     def who(self):
         return {"who": "proxy", "proxy": self.number} if self.number is not None else {
@@ -92,8 +93,8 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        self.hub.strangers[self] = None
-        self.hub.make_room()
+        self.hub.strangers.add(self)
+        self.hub.make_room(self.hub.strangers)
         self.hub.clock.at(self.opened + MUTE, self.expire)
 
     def connection_lost(self, failure):
@@ -110,8 +111,6 @@
             self.asked = False
             self.hub.clock.at(self.heard + MUTE, self.expire)
 
-    asked = False
-
     def use(self, data):
         found, used = lines.split(data)
         for line in found:
@@ -131,11 +130,13 @@
         if words.kind == "telemetry":
             self.hub.reader.telemetry(words)
             self.use_message = self.collect
-            del self.hub.strangers[self]
+            self.hub.strangers.discard(self)
+            self.hub.collectors.add(self)
+            self.hub.make_room(self.hub.collectors)
         elif words.kind == "attach":
             number, zone, typical, standing = self.hub.reader.attach(words)
             self.number, self.use_message = number, self.stream
-            del self.hub.strangers[self]
+            self.hub.strangers.discard(self)
             self.hub.joined(self, zone, typical, standing)
         else:
             raise Unreadable(Reason.OUT_OF_PLACE, f"{words.kind} before it said what it is")
--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -9,8 +9,9 @@
 MOST = 1 << 20  # bytes in a message, in either direction
 PARTS = 64  # lines that one message to a proxy may be split into
 MILLI = MICRO // 1000
-FIGURE = re.compile(r"\d{1,18}(\.\d{0,18})?([eE][+-]?\d{1,2})?")
-WHOLE = re.compile(r"\d{1,15}")
+FIGURE = re.compile(r"\d{1,18}(\.\d{0,18})?([eE][+-]?\d{1,2})?", re.ASCII)
+WHOLE = re.compile(r"\d{1,15}", re.ASCII)
+KIND = re.compile(r"[a-z_]{1,40}")
 BUSY, SERVED = ("utilization", "util"), ("throughput", "qps")  # a load report's words, as met and as documented
 LARGEST = 1e9  # of any figure: far beyond what a day can hold, far under what overflows
 
@@ -29,7 +30,7 @@
         kind, *words = line.decode().split(" ")
     except UnicodeDecodeError:
         raise Unreadable(Reason.UNREADABLE, "not UTF-8") from None
-    if not kind.isidentifier():
+    if not KIND.fullmatch(kind):
         raise Unreadable(Reason.UNREADABLE, f"no kind of message: {kind[:40]!r}")
     values = {}
     for word in words:
@@ -107,6 +108,7 @@
         return self.proxy(words), words.among("locality", self.zones), words.figure("w"), words.yes("cold")
 
     def done(self, words):
+        words.time("latency")
         return ("applied", self.proxy(words), words.whole("nonce"))
 
     def client_stats(self, words):
--- a/cranecleat/service/clock.py
+++ b/cranecleat/service/clock.py
@@ -30,6 +30,8 @@
 
     def fire(self):
         self.timer, now = None, self.now()
-        while self.due and self.due[0][0] <= now:
-            heappop(self.due)[2]()
-        self.arm()
+        try:
+            while self.due and self.due[0][0] <= now:
+                heappop(self.due)[2]()
+        finally:  # one that fails must not stop the others
+            self.arm()
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -4,7 +4,7 @@
 from cranecleat.memory.pool import Pool
 from cranecleat.memory.streams import Streams
 from cranecleat.policy import Planner
-from cranecleat.protocol.connections import BUFFER, HALF_READ, STRANGERS, Incoming
+from cranecleat.protocol.connections import BUFFER, HALF_READ, SHARE, Incoming
 from cranecleat.protocol.lines import Reader
 from cranecleat.protocol.reasons import Reason
 from cranecleat.protocol.registry import Registry
@@ -19,7 +19,7 @@
         routes = {name: index for index, name in enumerate(station.routes)}
         self.reader = Reader(station.zones, routes, station.proxies, self.names)
         self.pool = Pool(BUFFER, max(1, int(station.memory * HALF_READ) // BUFFER))
-        self.connections, self.strangers, self.stopping = set(), {}, False
+        self.connections, self.strangers, self.collectors, self.stopping = set(), set(), set(), False
         self.registry = Registry(self, station.discovery, station.known[0], station.seed)
         self.planner = Planner(station.bootstrap, station.seed)
         self.streams = Streams(self.names, station.routes, self.wake, lambda: None,
@@ -28,6 +28,7 @@
 
     def start(self):
         """The planner knows the list as it was last had before anybody is answered."""
+        self.waiting = True  # for the round right below
         self.listed("held", self.station.known[1])
         self.round()
 
@@ -56,20 +57,22 @@
         if old:
             old.connection.end(Reason.REPLACED)
         self.log.info("joined", proxy=connection.number, zone=zone, cold=standing, brought=brought)
-        self.told(("joined", connection.number, zone, typical, standing))
+        self.told(("joined", connection.number, zone, typical, standing, brought))
 
     def lost(self, connection):
         self.connections.discard(connection)
-        self.strangers.pop(connection, None)
+        self.strangers.discard(connection)
+        self.collectors.discard(connection)
         if connection.number is not None and self.streams.leave(connection.number, connection):
             self.told(("left", connection.number))
 
-    def make_room(self):
-        """Strangers may come in hundreds: the oldest of them go, so that proxies and collectors keep their place."""
-        while len(self.strangers) > max(1, int(self.station.descriptors * STRANGERS)):
-            oldest = next(iter(self.strangers))
-            del self.strangers[oldest]
-            oldest.end(Reason.CROWDED)
+    def make_room(self, group):
+        """Those that need no number may come in hundreds, or be left open by a cut: the ones longest silent go,
+        so that proxies keep their place."""
+        while len(group) > max(1, int(self.station.descriptors * SHARE)):
+            longest = min(group, key=lambda connection: connection.heard)
+            group.discard(longest)
+            longest.end(Reason.CROWDED)
 
     # Rounds
 
@@ -83,10 +86,11 @@
         calls, self.arrivals, self.last = self.arrivals, [], self.clock.now()
         try:
             self.planner.round(self.last, calls, self.streams)
+            messages = list(self.streams.messages())
         except Exception as failure:  # a planner that has failed would lie from now on
             self.failed(failure)
             return
-        for connection, message in list(self.streams.messages()):
+        for connection, message in messages:
             connection.write(message)
         self.longest = max(self.longest, self.clock.now() - self.last)
 
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -33,6 +33,10 @@
         log.info("stopping", signal=signal.Signals(number).name)
         end(STARTED)
 
+    def internal(_, context):
+        log.error("internal", says=context["message"], exc_info=context.get("exception"))
+
+    loop.set_exception_handler(internal)
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped, number)
     coordinator = Coordinator(station, Clock(loop, time.time()), log, failed)
--- a/cranecleat/service/start.py
+++ b/cranecleat/service/start.py
@@ -53,6 +53,9 @@
         told[key] = variables.get(f"BALANCER_{key.upper()}") or told.get(key)
         if not told[key]:
             raise Malformed(f"{path}: {key!r} is missing")
+    for key in ("settings", "limits", "known"):
+        if not isinstance(told.get(key), dict):
+            raise Malformed(f"{path}: {key!r} is missing or no object")
     try:
         info, limits = told["settings"], told["limits"]
         boot = bootstrap(info)
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -3,11 +3,20 @@
 To accept a new trace after reading it, run pytest with ACCEPT_TRACES=1 and look at the diff in git.
 """
 
+import json
 import os
+import re
+import selectors
+import socket
+import subprocess
+import sys
+import time
 from dataclasses import replace
 from pathlib import Path
 
+from cranecleat.door import Names
 from cranecleat.interface import Bootstrap, Route
+from cranecleat.memory.streams import Streams
 from cranecleat.policy import Planner
 
 SECOND = 1_000_000
@@ -16,6 +25,16 @@
                  admission="fraction", cycle=SECOND, backlog=1000, pace=1000.0, head=10.0, messages_most=0,
                  messages_over=10 * SECOND, grace=2 * SECOND, cold=20 * SECOND, cold_from=0.2)
 
+# A start message as the bench and the configuration spell it.
+INFO = {
+    "groupSize": 1, "round": 0.002, "localities": ["a", "b"], "skus": ["big", "small"], "membershipMode": "push",
+    "requestClasses": [{"name": "read", "credit": 2.0, "goalTime": 1.0, "effect": "idempotent"},
+                       {"name": "find", "credit": 1.0, "goalTime": 0.5, "onlyKinds": [0], "onlyZones": ["b"]}],
+    "rules": {"askWithin": 10.0, "cold": 17.0, "coldFrom": 0.2, "stopSendingWithin": 3.0},
+    "specifics": {"admission": "fraction", "cycle": 1.0, "backlog": 2000.0, "perMessage": 4.0, "egressPerS": 2000.0,
+                  "proxyCount": 8},
+}
+
 
 class Scene:
     """Plays rounds and keeps the trace; `verbs` limits it to some kinds of decision."""
@@ -69,3 +88,146 @@
     if os.environ.get("ACCEPT_TRACES"):
         path.write_text(text)
     assert text == path.read_text()
+
+
+class Sent:
+    """A connection that only keeps what was written to it."""
+
+    def __init__(self):
+        self.messages = []
+
+    def write(self, message):
+        self.messages.append(message.decode())
+
+
+class Desk:
+    """The planner's orders as the messages of each stream: a trace, or the state that a proxy draws from them."""
+
+    def __init__(self, backends=4, routes=("read", "find")):
+        self.names, self.text, self.planner = Names(), [], None
+        for b in range(backends):
+            self.names(f"s-{b}")
+        self.streams = Streams(self.names, routes, lambda *_: None, lambda: None, self.say)
+
+    def say(self, text):
+        self.text.append(f"# {text}")
+
+    def join(self, proxy, standing=True):
+        connection = Sent()
+        _, brought = self.streams.join(proxy, connection, standing)
+        self.say(f"proxy {proxy} joins{'' if standing else ' with ordered tables'}")
+        return brought
+
+    def flush(self):
+        """The round's messages by proxy; they go into the trace as well."""
+        numbers = {id(s.connection): p for p, s in self.streams.joined.items()}
+        sent = [(numbers[id(c)], m.decode()) for c, m in self.streams.messages()]
+        for proxy, message in sent:
+            self.text += [f"{proxy} <- {line}" for line in message.removesuffix("\r\n").split("\r\n")]
+        return dict(sent)
+
+
+def cost(message, head):
+    """What a message takes in the channel, by PROTOCOL: its head, and a line for each line, backend shut out or
+    let back, level, mark and replacement."""
+    words = [word.partition("=") for line in message.split("\r\n") for word in line.split(" ")]
+    lists = sum(len(value.split(",")) for name, _, value in words if name in ("rows", "drop", "undrop"))
+    return head + lists + sum(name in ("gate", "stamp", "replace") for name, _, _ in words)
+
+
+class Service:
+    """A coordinator's process with this test as its discovery, its proxies and its collectors."""
+
+    WAIT = 20  # seconds for any event: far more than one takes, so that only what never comes fails
+
+    def __init__(self, folder, **changes):
+        self.registry = socket.create_server(("127.0.0.1", 0))
+        self.registry.settimeout(self.WAIT)
+        with socket.create_server(("127.0.0.1", 0)) as free:
+            self.address = free.getsockname()
+        self.path, self.process, self.open = folder / "config.json", None, []
+        self.told = {
+            "name": "n0", "listen": "{}:{}".format(*self.address), "seed": "8c1f",
+            "discovery": "{}:{}".format(*self.registry.getsockname()), "settings": INFO,
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.list(41, s_1="active"), **changes}
+
+    def list(self, rev, full=True, **states):
+        return {"rev": rev, "all": full, "targets": [
+            {"uid": name.replace("_", "-"), "endpoint": "10.0.0.1:80", "az": "b", "model": "big", "pod_group": 0,
+             "state": state, "capacity_hint": 1.0, "boot_ms": 0} for name, state in states.items()]}
+
+    def start(self, before="", stdout=subprocess.PIPE, **more):
+        """`before` runs in the new process ahead of the program."""
+        self.path.write_text(self.told if isinstance(self.told, str) else json.dumps(self.told))
+        code = f"{before}\nimport sys; from cranecleat.service.run import main; sys.exit(main())"
+        self.process = subprocess.Popen(
+            [sys.executable, "-c", code], bufsize=0, stdout=stdout, stderr=subprocess.PIPE, cwd=Path(__file__).parent.parent,
+            env={**os.environ, "BALANCER_CONFIG": str(self.path), "PYTHONDONTWRITEBYTECODE": "1"}, **more)
+        return self
+
+    def __enter__(self):
+        return self
+
+    def __exit__(self, *_):
+        if self.process:
+            self.process.kill()
+            self.process.communicate()
+        for opened in (*self.open, self.registry):
+            opened.close()
+
+    def ended(self):
+        """Exit code, and what it wrote to standard error."""
+        _, errors = self.process.communicate(timeout=self.WAIT)
+        return self.process.returncode, errors.decode()
+
+    def log(self, pattern):
+        """The next log line that matches, without what differs from run to run."""
+        with selectors.DefaultSelector() as ready:
+            ready.register(self.process.stdout, selectors.EVENT_READ)
+            while ready.select(self.WAIT):
+                line = self.process.stdout.readline().decode()
+                if re.search(pattern, line):
+                    return re.sub(r"timestamp=\S+ |(seconds|longest_round_us|listen)=\S+ ?", "", line).strip()
+                assert line, f"the log ended before {pattern!r}"
+        raise AssertionError(f"no log line {pattern!r}")
+
+    def watch(self, *entries):
+        """Takes the coordinator's next watch, answers with these entries; returns it and what was asked for."""
+        taken, _ = self.registry.accept()
+        self.open.append(taken)
+        asked = self.read(taken, rb"\r\n\r\n").split("\r\n")[0]
+        taken.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        for entry in entries:
+            body = json.dumps(entry).encode() + b"\n"
+            taken.sendall(b"%x\r\n%s\r\n" % (len(body), body))
+        return taken, asked
+
+    def dial(self, *messages):
+        deadline = time.monotonic() + self.WAIT
+        while True:  # it listens soon after its start
+            try:
+                dialled = socket.create_connection(self.address, timeout=self.WAIT)
+                break
+            except ConnectionRefusedError:
+                assert time.monotonic() < deadline and self.process.poll() is None, "it does not listen"
+        self.open.append(dialled)
+        dialled.sendall("".join(message + "\r\n" for message in messages).encode())
+        return dialled
+
+    def read(self, dialled, pattern):
+        """All that comes up to the pattern; with None, up to the end."""
+        got = b""
+        while pattern is None or not re.search(pattern, got):
+            try:
+                piece = dialled.recv(65536)
+            except ConnectionResetError:
+                piece = b""
+            if not piece:
+                assert pattern is None, f"ended after {got!r}"
+                break
+            got += piece
+        return got.decode()
+
+    def answers(self):
+        """Whether it answers on a new connection."""
+        return self.read(self.dial("hb"), rb"hb_ok\r\n") == "hb_ok\r\n"
--- /dev/null
+++ b/tests/test_parsers.py
@@ -0,0 +1,131 @@
+"""What is spoken on the wire: every cut of it, and what is no message at all."""
+
+import json
+
+import pytest
+
+from cranecleat.door import Names
+from cranecleat.memory.pool import Exhausted, HalfRead, Pool
+from cranecleat.protocol import http, lines, registry
+from cranecleat.protocol.reasons import Unreadable
+from scene import same
+
+ZONES, KINDS = {"a": 0, "b": 1}, {"big": 0, "small": 1}
+LINES = (b"hb\r\nattach node=3 locality=a w=21.5 cold=1\r\ndone node=3 nonce=905 latency=310.4\r\n"
+         b"client_stats node=3 route=read total=19 errors=0 interval=1000.0 more=x\r\n"
+         b"upstream_stats locality=b endpoint=s-1 total=212 errors=3 rtt=41.7 interval=1000.0 metrics=util:0.61,qps:140\r\n"
+         b"upstream_stats locality=b endpoint=s-9 total=1 errors=0 rtt=0 interval=5e2\r\n")
+ENTRY = {"uid": "s-1", "endpoint": "10.1.0.18:5000", "az": "a", "model": "big", "pod_group": 3, "state": "leaving",
+         "capacity_hint": 1.5, "boot_ms": 1700000000123}
+BODY = json.dumps({"rev": 43, "all": False, "targets": [ENTRY]}).encode() + b"\n"
+CHUNKED = b"".join((b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n",
+                    b"%x;note=1\r\n" % len(BODY[:50]), BODY[:50], b"\r\n1\r\n", BODY[50:51], b"\r\n",
+                    b"%X\r\n" % (len(BODY) - 50), BODY[51:], b"\n\r\n0\r\nTrail: er\r\n\r\n"))
+FIXED = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\nServer:x\r\n\r\n" % (len(BODY) - 1) + BODY[:-1]
+
+
+def reader():
+    backends = Names()
+    backends("s-1")
+    return lines.Reader(ZONES, {"read": 0, "find": 1}, 8, backends)
+
+
+def understood(line):
+    words = lines.Words(*lines.parse(line))
+    return f"{words.kind} {getattr(reader(), words.kind)(words) if words.kind != 'hb' else ''}".strip()
+
+
+def through(pieces, take, pool):
+    """Feeds pieces through half-read buffers as a connection does; returns what was made of them."""
+    half, made = HalfRead(pool), []
+    for piece in pieces:
+        while piece:
+            room = half.room()
+            fits = piece[: len(room)]
+            room[: len(fits)] = fits
+            half.filled += len(fits)
+            piece = piece[len(fits):]
+            data = half.unread()
+            found, used = take(data)
+            made += found
+            half.keep(data[used:])
+    return made, half
+
+
+def cuts(data):
+    yield [data[i : i + 1] for i in range(len(data))]
+    yield from ([data[:i], data[i:]] for i in range(len(data) + 1))
+
+
+def test_lines_are_the_same_under_every_cut():
+    pool = Pool(16, 40)
+    for pieces in cuts(LINES):
+        found, half = through(pieces, lines.split, pool)
+        assert found == LINES.split(b"\r\n")[:-1] and half.buffers == [] and pool.out == 0
+    same("lines", [understood(line) for line in found])
+
+
+def test_what_is_no_line_is_told_apart():
+    bad = [b"", b" ", b"\xff\xfe", b"hb=1", b"done node=1 node=1 nonce=1 latency=1", b"done node=1 nonce", b"done  node=1",
+           b"done nonce=1 latency=1", b"done node=1 nonce=1", b"done node=8 nonce=1 latency=1",
+           b"done latency=1 nonce=1 node=-1", b"done latency=1 nonce=1 node=1.5", b"done latency=1 node=1 nonce=nan",
+           b"done latency=1 node=1 nonce=99999999999", "done latency=1 nonce=1 node=\u0663".encode(),
+           b"attach node=1 locality=c w=1 cold=1", b"attach node=1 locality=a w=inf cold=1",
+           b"attach node=1 locality=a w=1e99 cold=1", b"attach node=1 locality=a w=1 cold=yes",
+           b"client_stats node=1 route=none total=1 errors=0 interval=1",
+           b"client_stats node=1 route=read total=-1 errors=0 interval=1",
+           b"upstream_stats locality=a endpoint=s-1 total=1 errors=0 rtt=1 interval=1 metrics=util",
+           b"upstream_stats locality=a endpoint=s-9 total=x errors=0 rtt=1 interval=1", b"telemetry locality="]
+    text = []
+    for line in bad:
+        with pytest.raises(Unreadable) as wrong:
+            understood(line)
+        text.append(f"{wrong.value.reason.value:13} {wrong.value}")
+    same("lines_malformed", text)
+
+
+def test_answers_are_the_same_under_every_cut():
+    pool = Pool(16, 40)
+    for stream, wanted in ((CHUNKED, [BODY[:-1], b"", b""]), (FIXED, [BODY[:-1]])):
+        for pieces in cuts(stream):
+            answer, body = http.Answer(), registry.Lines()
+            found, _ = through(pieces, answer.take, pool)
+            assert answer.ended and pool.out == 0
+            assert [line for piece in found for line in body.take(piece)] + body.rest() == wanted
+    same("list", [str(registry.decode(json.loads(BODY), ZONES, KINDS))])
+
+
+def test_what_is_no_answer_is_told_apart():
+    ok = b"HTTP/1.1 200 OK\r\n"
+    bad = [b"HTTP/2 200 OK\r\n\r\n", b"SSH-2.0\r\n\r\n", b"HTTP/1.1 503 Busy\r\n\r\n", ok + b"No header\r\n\r\n",
+           ok + b"Content-Length: -1\r\n\r\n", ok + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+           ok + b"Transfer-Encoding: gzip\r\n\r\n", ok + b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
+           ok + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", ok + b"Transfer-Encoding: chunked\r\n\r\n123456789\r\n",
+           ok + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", ok + b"X: " + b"y" * http.HEAD_MOST]
+    text = []
+    for stream in bad:
+        with pytest.raises(Unreadable) as wrong:
+            http.Answer().take(stream)
+        text.append(f"{wrong.value.reason.value:13} {wrong.value}")
+    for change in ({"uid": None}, {"uid": "a b"}, {"uid": "a,b"}, {"az": "z"}, {"model": "x"}, {"state": "up"},
+                   {"boot_ms": -1}, {"boot_ms": "x"}, {"capacity_hint": float("nan")}, {"boot_ms": 10**400}):
+        with pytest.raises(Unreadable) as wrong:
+            registry.decode({"rev": 1, "all": True, "targets": [{**ENTRY, **change}]}, ZONES, KINDS)
+        text.append(f"{wrong.value.reason.value:13} {wrong.value}")
+    for entry in ([], None, {}, {"rev": True, "all": True, "targets": []}, {"rev": 1, "all": True, "targets": 5}):
+        with pytest.raises(Unreadable) as wrong:
+            registry.decode(entry, ZONES, KINDS)
+        text.append(f"{wrong.value.reason.value:13} {wrong.value}")
+    same("answers_malformed", text)
+
+
+def test_half_read_messages_are_capped_in_all():
+    pool = Pool(16, 3)
+    halves = [HalfRead(pool) for _ in range(3)]
+    for half in halves:
+        half.room()
+        half.filled = 16
+    with pytest.raises(Exhausted):
+        halves[0].room()
+    halves[1].keep(b"")
+    assert len(halves[0].room()) == 16 and pool.out == 3
--- /dev/null
+++ b/tests/test_service.py
@@ -0,0 +1,272 @@
+"""The running coordinator on loopback connections; each test waits for events, none for time to pass."""
+
+import json
+import resource
+import signal
+import socket
+import struct
+
+from cranecleat.protocol.connections import MUTE, UNREAD, Incoming
+from cranecleat.protocol.reasons import Reason
+from cranecleat.service.clock import Clock
+from cranecleat.service.coordinator import Coordinator
+from cranecleat.service.start import read
+from scene import Service, same
+
+ATTACH = "attach node=3 locality=a w=6.5 cold=1"
+BINDING = rb"stamp=(\d+)\r\n"
+
+
+def test_a_day_in_short(tmp_path):
+    with Service(tmp_path).start() as service:
+        text = [service.log("serving")]
+        watch, asked = service.watch(service.list(42, full=False, s_2="active"))
+        text += [asked, service.log("listed.*s-2")]
+        proxy = service.dial("hb", ATTACH)
+        text += service.read(proxy, BINDING).split("\r\n") + [service.log("joined")]
+        service.dial("telemetry locality=a",
+                     "upstream_stats locality=a endpoint=s-1 total=9 errors=0 rtt=50 interval=1000 metrics=util:0.5,qps:9",
+                     "client_stats node=3 route=read total=9 errors=0 interval=1000")
+        text.append("# a newer stream of the same proxy: the older one ends, and that means nothing")
+        newer = service.dial(ATTACH)
+        service.read(proxy, None)
+        text += service.read(newer, BINDING).split("\r\n") + [service.log("connection_ended")]
+        text.append("# the backend drains")
+        body = b'{"rev":43,"all":false,"targets":[%s]}' % (
+            str(service.list(43, s_1="leaving")["targets"][0]).replace("'", '"').encode())
+        watch.sendall(b"%x\r\n%s\n\r\n" % (len(body) + 1, body))
+        text += service.read(newer, rb"drop=s-1(.|\r\n)*stamp=").split("\r\n")[:1]
+        newer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        newer.close()
+        text.append(service.log("connection_ended.*proxy"))
+        service.process.send_signal(signal.SIGTERM)
+        text += [service.log("stopping"), service.log("stopped"), str(service.ended())]
+    same("service_life", text)
+
+
+def test_after_a_kill_it_starts_from_what_it_is_told(tmp_path):
+    with Service(tmp_path).start() as service:
+        service.watch()
+        service.read(service.dial(ATTACH), BINDING)
+        service.process.kill()
+        service.ended()
+        service.start()
+        _, asked = service.watch(service.list(50, s_1="active", s_7="active"))
+        service.log("listed.*s-7")
+        proxy = service.dial("attach node=3 locality=a w=6.5 cold=0")
+        text = [asked, *service.read(proxy, BINDING).split("\r\n")]
+    same("service_restart", text)
+
+
+def test_who_sends_what_cannot_be_read_ends_alone(tmp_path):
+    with Service(tmp_path).start() as service:
+        proxy, text = service.dial(ATTACH), []
+        service.read(proxy, BINDING)
+        for bad in (["\u00e9\x00"], ["hb x"], ["done node=3 nonce=1 latency=1"], ["attach node=99 locality=a w=1 cold=1"],
+                    ["attach node=1 locality=zz w=1 cold=1"], ["telemetry locality=a", "owner"], ["x" * 20_000],
+                    ["attach node=1 locality=a w=1 cold=1", "done node=2 nonce=1 latency=1"],
+                    ["telemetry locality=a", "client_stats node=1 route=read total=1e9 errors=0 interval=nan"]):
+            service.read(service.dial(*bad), None)
+            text.append(service.log("connection_ended"))
+        endless = service.dial("telemetry locality=a", "hb")
+        service.read(endless, rb"hb_ok")
+        try:
+            endless.sendall(b"y" * (2 << 20))
+        except OSError:
+            pass
+        service.read(endless, None)
+        text.append(service.log("connection_ended").split(" detail=")[0])
+        proxy.sendall(b"hb\r\n")
+        assert service.read(proxy, b"hb_ok") and service.answers()
+    same("service_bad_input", text)
+
+
+def test_a_list_that_cannot_be_read_is_dialled_anew_and_the_last_one_stands(tmp_path):
+    with Service(tmp_path).start() as service:
+        text = []
+        for entry in ({"rev": 42}, service.list(42, s_1="up"), [], None):
+            _, asked = service.watch(*([entry] if entry is not None else ()))
+            if entry is None:
+                text.append("# silent: no pulse comes")
+            text += [asked, service.log("connection_ended.*discovery")]
+        watch, _ = service.watch()
+        watch.sendall(b"5\r\n\n{")
+        watch.close()
+        text += ["# ended in mid-chunk", service.log("connection_ended.*discovery")]
+        _, asked = service.watch(service.list(44, s_1="active", s_5="active"))
+        text += [asked, service.log("listed.*s-5")]
+        assert service.answers()
+    same("service_discovery", text)
+
+
+def test_strangers_in_hundreds_leave_proxies_and_collectors_their_place(tmp_path):
+    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 40}
+    with Service(tmp_path, limits=limits).start() as service:
+        proxy = service.dial(ATTACH)
+        service.read(proxy, BINDING)
+        strangers = [service.dial() for _ in range(300)]
+        for stranger in strangers[:290]:
+            service.read(stranger, None)
+        assert "crowded" in service.log("connection_ended")
+        collectors = [service.dial("telemetry locality=a", "hb") for _ in range(12)]
+        for collector in collectors[:2]:
+            service.read(collector, None)
+        proxy.sendall(b"hb\r\n")
+        assert service.read(proxy, b"hb_ok") and service.answers()
+
+
+def test_without_descriptors_it_neither_spins_nor_ends(tmp_path):
+    few = {"preexec_fn": lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (24, 24))}
+    with Service(tmp_path).start(**few) as service:
+        proxy = service.dial(ATTACH)
+        service.read(proxy, BINDING)
+        crowd = [service.dial() for _ in range(40)]
+        assert "Too many open files" in service.log("internal")
+        proxy.sendall(b"hb\r\n")
+        service.read(proxy, b"hb_ok")
+        for one in crowd:
+            one.close()
+        assert service.answers()
+
+
+def test_a_log_that_nobody_reads_or_that_is_gone_holds_nothing_up(tmp_path):
+    with Service(tmp_path).start() as service:
+        service.log("serving")
+        for _ in range(900):  # beyond what a pipe holds
+            service.read(service.dial("?"), None)
+        assert service.answers()
+        service.process.stdout.close()
+        assert service.answers()
+        service.process.stdout = None
+        service.process.send_signal(signal.SIGTERM)
+        assert service.ended()[0] == 0
+
+
+def test_what_keeps_it_from_starting_is_one_line_and_code_2(tmp_path):
+    text = []
+    with Service(tmp_path) as service:
+        settings = service.told["settings"]
+        lame = [{**service.told, "settings": {**settings, "rules": {}}}, {**service.told, "limits": {}},
+                {**service.told, "known": {"rev": 1}}, {**service.told, "listen": "nowhere"},
+                {**service.told, "limits": []}, {k: v for k, v in service.told.items() if k != "seed"}, [], "{"]
+        for told in lame:
+            service.told = told
+            code, errors = service.start().ended()
+            text.append(f"{code} {errors.replace(str(tmp_path), '').strip()}")
+        service.path.unlink()
+        code, errors = service.start("import os; os.environ['BALANCER_CONFIG'] = '/nowhere/c.json'").ended()
+        text.append(f"{code} {errors.strip()}")
+    with Service(tmp_path).start() as service:
+        service.log("serving")
+        code, errors = Service.start(service).ended()
+        text.append(f"{code} {errors.replace(str(service.address[1]), 'PORT').strip()}")
+    same("service_cannot_start", text)
+
+
+def test_a_planner_that_fails_is_a_crash_with_its_traceback(tmp_path):
+    broken = "import cranecleat.policy as p; p.Planner.joined = lambda *_: 1 / 0"
+    with Service(tmp_path).start(broken) as service:
+        service.dial(ATTACH)
+        assert "ZeroDivisionError" in service.log("planner_failed")
+        assert service.ended()[0] == 1
+
+
+class Still:
+    """A loop and a transport whose time passes only when told."""
+
+    def __init__(self):
+        self.seconds, self.timer, self.ended, self.unsent, self.lines = 0.0, None, False, 0, []
+
+    def time(self):
+        return self.seconds
+
+    def call_at(self, when, act):
+        self.timer = when, act
+        return self
+
+    def cancel(self):
+        self.timer = None
+
+    def abort(self):
+        self.ended = True
+
+    def write(self, message):
+        self.unsent += len(message)
+
+    def get_write_buffer_size(self):
+        return self.unsent
+
+    def info(self, event, **fields):
+        self.lines.append((event, fields))
+
+    def pass_to(self, seconds):
+        self.seconds = seconds
+        while self.timer and self.timer[0] <= seconds:
+            (_, act), self.timer = self.timer, None
+            act()
+
+
+def quiet_hub(tmp_path):
+    service, still = Service(tmp_path), Still()
+    with service:
+        service.path.write_text(json.dumps(service.told))
+        station = read({"BALANCER_CONFIG": str(service.path)})
+    return still, Coordinator(station, Clock(still, 1000.0), still, None)
+
+
+def say(connection, text):
+    room = connection.get_buffer(-1)
+    room[: len(text)] = text
+    connection.buffer_updated(len(text))
+
+
+def test_strangers_that_say_nothing_go_and_those_that_ask_for_a_sign_stay(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    mute, asking, other = hub.accept(), hub.accept(), Still()
+    mute.connection_made(still)
+    asking.connection_made(other)
+    say(mute, b"attach nod")
+    still.pass_to(MUTE / 2e6)
+    say(asking, b"hb\r\n")
+    still.pass_to(MUTE / 1e6)
+    assert mute.reason is Reason.MUTE and still.ended and hub.pool.out == 1 and not other.ended
+    mute.connection_lost(None)
+    assert hub.pool.out == 0
+    still.pass_to(MUTE * 3 / 2e6)
+    assert asking.reason is Reason.MUTE
+
+
+def test_who_leaves_too_much_unread_is_reset(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    proxy = hub.accept()
+    proxy.connection_made(still)
+    proxy.write(b"x" * UNREAD)
+    assert not still.ended
+    proxy.write(b"x")
+    assert still.ended and proxy.reason is Reason.UNREAD
+
+
+def test_reports_on_what_was_never_listed_take_no_memory(tmp_path):
+    _, hub = quiet_hub(tmp_path)
+    collector = hub.accept()
+    collector.connection_made(Still())
+    say(collector, b"telemetry locality=a\r\n")
+    for n in range(50):
+        say(collector, b"upstream_stats locality=a endpoint=z%d total=1 errors=0 rtt=1 interval=1\r\n" % n)
+    assert len(hub.names.ids) == 0 and not hub.arrivals and hub.pool.out == 0
+
+
+def test_a_round_waits_for_the_least_time_and_takes_all_that_came(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    hub.start()
+    rounds = []
+    hub.planner.round = lambda now, calls, out: rounds.append((now - 1_000_000_000, [verb for verb, *_ in calls]))
+    streams = [hub.accept() for _ in range(2)]
+    for number, stream in enumerate(streams):
+        stream.connection_made(Still())
+        say(stream, b"attach node=%d locality=a w=1 cold=1\r\ndone node=%d nonce=1 latency=1\r\n" % (number, number))
+    still.pass_to(0.001)
+    assert rounds == []
+    still.pass_to(0.002)
+    assert rounds == [(2000, ["joined", "applied", "joined", "applied"])]
+    assert isinstance(streams[0], Incoming)
--- a/tests/test_wirehost.py
+++ b/tests/test_wirehost.py
@@ -2,15 +2,8 @@
 import json
 
 from cranecleat.wirehost.host import serve
-from scene import same
-
-INFO = {
-    "groupSize": 1, "localities": ["a", "b"], "skus": ["big", "small"], "membershipMode": "push",
-    "requestClasses": [{"name": "read", "credit": 2.0, "goalTime": 1.0, "effect": "idempotent"},
-                       {"name": "find", "credit": 1.0, "goalTime": 0.5, "onlyKinds": [0], "onlyZones": ["b"]}],
-    "rules": {"askWithin": 10.0, "cold": 17.0, "coldFrom": 0.2, "stopSendingWithin": 3.0},
-    "specifics": {"admission": "fraction", "cycle": 1.0, "backlog": 2000.0, "perMessage": 4.0, "egressPerS": 2000.0},
-}
+from scene import INFO, same
+
 ENTRY = {"backend": "10.0.0.1:80", "state": "Running", "failureDomain": 1, "type": 0, "share": 1}
 
 
