--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -328,7 +328,7 @@
             self.fleet = served / TARGET
         else:
             # Half-way back to what was carried before; then by the tenth, more if far from slow.
-            clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
+            clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0 if self.level < 1.0 else 1.0)
             growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
 
