Order of links as before; a watch that never answers is dialled anew after a second

A watch whose connection comes up but brings no answer was given the 3 s of a lost pulse; after a silent watch that made 6 s and more until a change was heard, the time after which PROTOCOL counts it as told. The agent answers at once, so 1 s is enough (registry.py, PROMPT).

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -39,33 +39,26 @@
 GATHER = 0.12  # of the grace of drains: withdrawals may wait this long for others
 
 
-def bottleneck(left, crossing, rates, gamma):
-    """The fair share of a link, and those whom it binds: those bound elsewhere are taken out first."""
-    while crossing:
-        share = max(left, 0.0) / max(sum(gamma[k][e] for k, e in crossing), 1e-12)
-        here = [(k, e) for k, e in crossing if rates[k][e] >= share * gamma[k][e]]
-        if len(here) == len(crossing):
-            return share, here
-        left -= sum(rates[k][e] for k, e in crossing if rates[k][e] < share * gamma[k][e])
-        crossing = here
-    return float("inf"), []
-
-
 def waterfill(demands, weights, paths, capacity):
     """Alg. 2 of the paper: rates f[k][e] of demand k on backend e, each link visited once, in ascending
-    order of its first fair share. A demand's own size is a virtual link over all of its paths; a backend's
-    first share leaves to others what small demands will not take, or these would get only crumbs."""
+    order of its first fair share. A demand's own size is a virtual link over all of its paths."""
     rates = [dict.fromkeys(path, float("inf")) for path in paths]
     gamma = [{e: weights[k] * theta for e, theta in path.items()} for k, path in enumerate(paths)]
-    own = [{e: demands[k] * theta for e, theta in path.items()} for k, path in enumerate(paths)]
-    links = [(demands[k], [(k, e) for e in path], rates) for k, path in enumerate(paths)]
-    links += [(capacity[e], [(k, e) for k, path in enumerate(paths) if e in path], own)
+    links = [(demands[k], [(k, e) for e in path]) for k, path in enumerate(paths)]
+    links += [(capacity[e], [(k, e) for k, path in enumerate(paths) if e in path])
               for e in dict.fromkeys(e for path in paths for e in path)]
-    fair = [bottleneck(*link, gamma)[0] for link in links]
+    fair = [left / max(sum(gamma[k][e] for k, e in crossing), 1e-12) for left, crossing in links]
     for link in sorted(range(len(links)), key=fair.__getitem__):
-        share, bound = bottleneck(*links[link][:2], rates, gamma)
-        for k, e in bound:
-            rates[k][e] = share * gamma[k][e]
+        left, crossing = links[link]
+        while crossing:
+            share = max(left, 0.0) / max(sum(gamma[k][e] for k, e in crossing), 1e-12)
+            elsewhere = [(k, e) for k, e in crossing if rates[k][e] < share * gamma[k][e]]
+            if not elsewhere:
+                for k, e in crossing:
+                    rates[k][e] = share * gamma[k][e]
+                break
+            left -= sum(rates[k][e] for k, e in elsewhere)
+            crossing = [(k, e) for k, e in crossing if rates[k][e] >= share * gamma[k][e]]
     return rates
 
 
@@ -93,7 +86,8 @@
         self.standing, self.brought = standing, brought  # only what it drew at its start; others' withdrawals
         self.usage = {}  # route -> calls a second
         self.bound, self.sheltered = set(), False  # tables
-        self.cost, self.sent = 0, []  # lines in this round's message; when counted ones were written
+        self.cost = 0  # lines that this round has put into its message
+        self.sent = []  # when messages were written, within the counted span
 
     def calls(self):
         return sum(self.usage.values()) if self.usage else self.typical
@@ -104,17 +98,20 @@
         self.boot, self.seed, self.draws = bootstrap, seed, 0
         self.backends, self.proxies = {}, {}
         self.tables, self.levels = {}, {}  # table -> {backend: weight}, route -> level: as sent
-        self.refuge, self.theta = [], {}  # backends for proxies that wait; table -> {backend: multiplier}
+        self.refuge = []  # backends in the table for proxies that wait
+        self.theta = {}  # table -> {backend: multiplier}
         self.cold = {}  # cold backend -> its part of the fleet, which no floor lifts
-        self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
+        self.share = [1.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
+        self.granted = [0.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 3  # of one turn's reports: tries, answered, time taken by answers
         self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
         self.changed = self.lacking = False  # the list has; backends that run have no line
         self.unsaid, self.say_at, self.behind = set(), None, False  # withdrawals: to repeat, due, late
-        self.fleet, self.before, self.width = None, 0.0, 0.0  # what all can do and did before; size that runs
+        self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
+        self.width = 0.0  # size of what runs, cold ones in part
         self.strained, self.dropped_at = False, 0  # the fleet is slow; its capacity's last drop
         self.level = 1.0  # the part of their capacity to which backends are filled
 
@@ -328,7 +325,7 @@
             self.fleet = served / TARGET
         else:
             # Half-way back to what was carried before; then by the tenth, more if far from slow.
-            clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0 if self.level < 1.0 else 1.0)
+            clean = min(max(slow_at / max(took, 1.0) - 1.0, 0.5), 3.0)
             growth = GROWTH ** clean if self.level > ENOUGH else 1.0
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
 
--- a/cranecleat/protocol/registry.py
+++ b/cranecleat/protocol/registry.py
@@ -15,6 +15,7 @@
 LIST_MOST = 1 << 22  # bytes of one entry of the watch: a list of some ten thousand backends
 PULSE = 2 * MICRO  # a watch brings an empty line this often
 QUIET = PULSE * 3 // 2  # without one for this long it is dialled anew, well within the 6 s that PROTOCOL allows
+PROMPT = MICRO  # for the first answer of a watch, which the agent gives at once; two such waits fit in as well
 DIAL = MICRO // 2  # for a dial on one's own machine, where an answer is there at once or not at all
 FIRST_WAIT, LONGEST_WAIT = MICRO // 20, MICRO  # between dials: doubled each time, with half of it left to chance
 
@@ -90,10 +91,11 @@
         return used
 
     def look(self):
-        """A watch that has lost its pulse may be silent for ever, and the list may change meanwhile."""
+        """A watch that has lost its pulse may be silent for ever, and the list may change meanwhile. Where discovery
+        itself is down this only dials once a second or two."""
         if self.reason:
             return
-        due = self.heard + QUIET
+        due = self.heard + (QUIET if self.heard > self.opened else PROMPT)
         if self.hub.clock.now() >= due:
             self.end(Reason.SILENT, "no pulse")
         else:
