--- a/cranecleat/memory/pool.py
+++ b/cranecleat/memory/pool.py
@@ -35,8 +35,13 @@
             offset = 0
         return memoryview(self.buffers[-1])[offset:]
 
+    def fresh(self, count):
+        """The last `count` bytes: one read never spans two buffers."""
+        end = self.filled - self.pool.size * (len(self.buffers) - 1)
+        return bytes(memoryview(self.buffers[-1])[end - count : end])
+
     def unread(self):
-        return b"".join(self.buffers)[: self.filled]
+        return self.fresh(self.filled) if len(self.buffers) == 1 else b"".join(self.buffers)[: self.filled]
 
     def keep(self, rest):
         """What is left of the unread bytes after some were used: never more than before."""
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -8,11 +8,11 @@
 
 
 class Stream:
-    def __init__(self, connection, brought):
+    def __init__(self, connection, ever, brought):
         self.connection = connection
         self.bound = {}  # route -> table
-        self.shut = set()  # backends that were shut out on this stream
-        self.brought = brought  # and those that it may still shut out from earlier ones
+        self.shut, self.ever = set(), ever  # backends shut out on this stream, and on any of the proxy's
+        self.brought = brought  # those that it may still shut out from earlier ones
 
 
 class Streams:
@@ -39,7 +39,7 @@
         one: it may shut out anything."""
         old, ever = self.joined.get(proxy), self.ever.setdefault(proxy, set())
         brought = set(ever) if standing else set(range(len(self.names.ids)))
-        self.joined[proxy] = Stream(connection, brought)
+        self.joined[proxy] = Stream(connection, ever, brought)
         return old, len(brought)
 
     def leave(self, proxy, connection):
@@ -133,9 +133,8 @@
         out = sorted(b for b in self.out - stream.shut if b in held or loose and b in self.moved)
         back = sorted(b for b in (stream.shut | stream.brought) - self.out if bound or b in self.moved)
         stream.shut.update(out)
+        stream.ever.update(out)
         stream.shut.difference_update(back)
         stream.brought.difference_update(back)
-        for proxy_ever in (self.ever[p] for p, s in self.joined.items() if s is stream and out):
-            proxy_ever.update(out)
         return [self.once(assign, **{word: tuple(self.names.ids[b] for b in which)})
                 for word, which in (("drop", out), ("undrop", back)) if which]
--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -21,6 +21,7 @@
     """Reads into pooled buffers and ends with one log line. Subclasses use what was read."""
 
     most = lines.MOST + 2 * BUFFER  # unread bytes
+    end_mark = None  # without it in what has just come there is nothing new to use
 
     def __init__(self, hub):
         self.hub, self.half, self.transport = hub, HalfRead(hub.pool), None
@@ -30,6 +31,7 @@
 
     def connection_made(self, transport):
         self.transport = transport
+        self.hub.connections.add(self)
 
     def get_buffer(self, hint):
         try:
@@ -43,15 +45,14 @@
             return
         self.half.filled += count
         self.heard = self.hub.clock.now()
-        data = self.half.unread()
         try:
-            used = self.use(data)
+            if self.end_mark is None or self.end_mark in self.half.fresh(count):
+                data = self.half.unread()
+                self.half.keep(data[self.use(data) :])
+            if self.half.filled > self.most:
+                raise Unreadable(Reason.TOO_LONG, f"{self.half.filled} bytes without an end")
         except Unreadable as wrong:
             self.end(wrong.reason, str(wrong))
-        else:
-            self.half.keep(data[used:])
-            if self.half.filled > self.most:
-                self.end(Reason.TOO_LONG, f"{self.half.filled} bytes without an end")
 
     def write(self, message):
         """To who reads: a party that leaves too much unread is given up, as it would give us up."""
@@ -71,6 +72,7 @@
         if self.reason is None:
             self.reason, self.detail = (Reason.RESET, str(failure)) if failure else (Reason.CLOSED, None)
         self.half.keep(b"")
+        self.hub.connections.discard(self)
         lasted = round((self.hub.clock.now() - self.opened) / MICRO, 3)
         self.hub.log.info("connection_ended", code=self.reason.value, **self.who(), seconds=lasted, detail=self.detail)
 
@@ -78,6 +80,8 @@
 class Incoming(Connection):
     """Whoever dials in. A stranger until it says what it is; then a proxy's stream or a collector."""
 
+    end_mark = lines.END[-1:]
+
     def __init__(self, hub):
         super().__init__(hub)
         self.number, self.use_message = None, self.greet
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -9,6 +9,8 @@
 from cranecleat.protocol.reasons import Reason
 from cranecleat.protocol.registry import Registry
 
+SLOW_ROUND = 1 / 50  # of a cycle
+
 
 class Coordinator:
     """What all connections share. `failed` is called with what the planner raised."""
@@ -33,9 +35,7 @@
         self.round()
 
     def accept(self):
-        connection = Incoming(self)
-        self.connections.add(connection)
-        return connection
+        return Incoming(self)
 
     # What connections bring
 
@@ -60,7 +60,6 @@
         self.told(("joined", connection.number, zone, typical, standing, brought))
 
     def lost(self, connection):
-        self.connections.discard(connection)
         self.strangers.discard(connection)
         self.collectors.discard(connection)
         if connection.number is not None and self.streams.leave(connection.number, connection):
@@ -92,7 +91,13 @@
             return
         for connection, message in messages:
             connection.write(message)
-        self.longest = max(self.longest, self.clock.now() - self.last)
+        self.took(self.clock.now() - self.last)
+
+    def took(self, time):
+        """A round holds up all else; the longest so far is told where it is long."""
+        if time > self.longest and time > self.station.bootstrap.cycle * SLOW_ROUND:
+            self.log.warning("slow_round", us=time)
+        self.longest = max(self.longest, time)
 
     def stop(self):
         self.stopping = True
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,6 +8,7 @@
 
 from cranecleat.protocol.connections import MUTE, UNREAD, Incoming
 from cranecleat.protocol.reasons import Reason
+from cranecleat.protocol.registry import PROMPT, QUIET, Watch
 from cranecleat.service.clock import Clock
 from cranecleat.service.coordinator import Coordinator
 from cranecleat.service.start import read
@@ -40,7 +41,7 @@
         newer.close()
         text.append(service.log("connection_ended.*proxy"))
         service.process.send_signal(signal.SIGTERM)
-        text += [service.log("stopping"), service.log("stopped"), str(service.ended())]
+        text += [service.log(event) for event in ("stopping", "ended.*collector", "stopped")] + [str(service.ended())]
     same("service_life", text)
 
 
@@ -236,6 +237,24 @@
     assert asking.reason is Reason.MUTE
 
 
+def test_a_watch_that_never_answers_is_given_up_soon_and_one_that_did_when_its_pulse_is_missed(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    hub.registry.dial = lambda: dialled.append(still.seconds)
+    dialled, mute, alive, other = [], Watch(hub, hub.registry), Watch(hub, hub.registry), Still()
+    mute.connection_made(still)
+    alive.connection_made(other)
+    say(alive, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
+    still.pass_to(0.9)
+    say(alive, b"1\r\n\n\r\n")
+    still.pass_to(PROMPT / 1e6)
+    assert mute.reason is Reason.SILENT and still.ended and not other.ended
+    mute.connection_lost(None)
+    still.pass_to(PROMPT / 1e6 + 0.1)
+    assert len(dialled) == 1
+    still.pass_to(0.9 + QUIET / 1e6)
+    assert alive.reason is Reason.SILENT
+
+
 def test_who_leaves_too_much_unread_is_reset(tmp_path):
     still, hub = quiet_hub(tmp_path)
     proxy = hub.accept()
