--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -73,7 +73,7 @@
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
         self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
         self.took = self.calls = 0.0  # answer time, and how many answers it rests on
-        self.quiet, self.missing, self.lost = 0, 0.0, 0  # since its last answer: spells, due, lost
+        self.quiet, self.missing = 0, 0.0  # since its last answer: spells with reports, answers due
         self.shut = False  # it never answers
 
     def answering(self):
@@ -215,13 +215,13 @@
         rate = answered * 1e6 / covers
         fresh = 1.0 - 0.2 ** (covers / self.boot.cycle)  # as demand is, which it is held against
         x.served[zone] = [rate * fresh + x.served.get(zone, [rate])[0] * (1.0 - fresh), self.now]
-        x.tries, x.dropped, x.lost = keep * x.tries + tries, keep * x.dropped + dropped, x.lost + dropped
+        x.tries, x.dropped = keep * x.tries + tries, keep * x.dropped + dropped
         if not x.shut:  # one that never answers is judged by itself
             self.tally = [sum(pair) for pair in zip(self.tally, (tries, answered, answered * took))]
         if answered:
             x.took = (x.took * x.calls + took * answered) / (x.calls + answered)
             x.calls = min(x.calls + answered, MEMORY)
-            x.quiet, x.missing, x.lost = 0, 0.0, 0
+            x.quiet, x.missing = 0, 0.0
             x.shut = False
         if load and load[0] > IDLE:
             hold = keep ** 0.25
@@ -274,8 +274,7 @@
         for b, x in running.items():
             x.quiet += 1 / self.spell
             x.missing += self.tally[1] * bound * due.get(b, 0.0) / whole
-            sure = x.quiet >= QUIET or x.lost > ENOUGH_TRIES  # tries that were lost are no late reports
-            if not x.shut and x.missing + x.lost > SILENT and sure and x.size <= room:
+            if not x.shut and x.missing > SILENT and x.quiet >= QUIET and x.size <= room:
                 x.shut, room = True, room - x.size
                 self.out.log(f"backend {b} shut out: it never answers")
 
