--- a/examples/toy.py
+++ b/examples/toy.py
@@ -9,7 +9,7 @@
 import json
 
 DISCOVERY, COORDINATOR = ("127.0.0.1", 8500), ("127.0.0.1", 5000)
-BACKENDS = {"toy-a": ("north", 40), "toy-b": ("north", 80), "toy-c": ("south", 160)}  # zone, milliseconds an answer
+BACKENDS = {"toy-a": ("north", 40), "toy-b": ("north", 80), "toy-c": ("south", 160)}  # zone, work in ms
 
 
 def entry(rev, full, **states):
@@ -52,8 +52,8 @@
             while not writer.is_closing():
                 for name, (_, took) in BACKENDS.items():
                     if name not in shut:
-                        writer.write(f"upstream_stats locality=north endpoint={name} total=10 errors=0 rtt={took} "
-                                     f"interval=1000 metrics=utilization:0.4,throughput:10\r\n".encode())
+                        writer.write(f"upstream_stats locality=north endpoint={name} total=5 errors=0 rtt={took} "
+                                     f"interval=1000 metrics=utilization:{took * 5 / 1000},throughput:5\r\n".encode())
                 await writer.drain()
                 await asyncio.sleep(1)
 
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -146,6 +146,7 @@
         with socket.create_server(("127.0.0.1", 0)) as free:
             self.address = free.getsockname()
         self.path, self.process, self.open = folder / "config.json", None, []
+        self.started = []
         self.told = {
             "name": "n0", "listen": "{}:{}".format(*self.address), "seed": "8c1f",
             "discovery": "{}:{}".format(*self.registry.getsockname()), "settings": INFO,
@@ -163,15 +164,18 @@
         self.process = subprocess.Popen(
             [sys.executable, "-c", code], bufsize=0, stdout=stdout, stderr=subprocess.PIPE, cwd=Path(__file__).parent.parent,
             env={**os.environ, "BALANCER_CONFIG": str(self.path), "PYTHONDONTWRITEBYTECODE": "1"}, **more)
+        self.started.append(self.process)
         return self
 
     def __enter__(self):
         return self
 
     def __exit__(self, *_):
-        if self.process:
-            self.process.kill()
-            self.process.communicate()
+        for process in self.started:
+            process.kill()
+            process.wait()
+            for pipe in filter(None, (process.stdout, process.stderr)):
+                pipe.close()
         for opened in (*self.open, self.registry):
             opened.close()
 
