--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -1,26 +1,18 @@
-"""Connections as objects with callbacks: strangers, proxies and collectors that dial in.
-
-Every wait and limit of the network itself stands here, with its reason; none of them is a decision about calls.
-"""
+"""Connections as objects with callbacks: strangers, proxies and collectors that dial in."""
 
 import asyncio
 
 from cranecleat.door import MICRO
 from cranecleat.memory.pool import Exhausted, HalfRead
 from cranecleat.protocol import lines
+from cranecleat.protocol.limits import BUFFER, MESSAGE, MUTE, UNREAD
 from cranecleat.protocol.reasons import Reason, Unreadable
 
-BUFFER = 1 << 14  # bytes of a pooled buffer: many reports, or a joining with room to spare
-HALF_READ = 1 / 16  # of the memory limit may hold half-read messages
-UNREAD = 128 << 10  # bytes that a party may leave unread, as PROTOCOL states
-MUTE = 10 * MICRO  # for the first useful message: proxies stall for seconds, strangers say nothing for ever
-SHARE = 1 / 4  # of the descriptors may belong to strangers, and as many to collectors
-
 
 class Connection(asyncio.BufferedProtocol):
     """Reads into pooled buffers and ends with one log line. Subclasses use what was read."""
 
-    most = lines.MOST + 2 * BUFFER  # unread bytes
+    most = MESSAGE + 2 * BUFFER  # unread bytes
     end_mark = None  # without it in what has just come there is nothing new to use
 
     def __init__(self, hub):
@@ -118,7 +110,7 @@
     def use(self, data):
         found, used = lines.split(data)
         for line in found:
-            if len(line) > lines.MOST:
+            if len(line) > MESSAGE:
                 raise Unreadable(Reason.TOO_LONG, f"a message of {len(line)} bytes")
             kind, values = lines.parse(line)
             if kind == "hb":
--- a/cranecleat/protocol/http.py
+++ b/cranecleat/protocol/http.py
@@ -2,10 +2,10 @@
 
 import re
 
+from cranecleat.protocol.limits import HEAD
 from cranecleat.protocol.reasons import Reason, Unreadable
 
 END = b"\r\n"
-HEAD_MOST = 1 << 14  # bytes of status line and headers, of a chunk's size line, of trailers
 STATUS = re.compile(rb"HTTP/1\.[01] (\d{3})( .*)?")
 FIELD = re.compile(rb"([!#$%&'*+.^_`|~0-9A-Za-z-]+):[ \t]*(.*?)[ \t]*")
 SIZE = re.compile(rb"([0-9A-Fa-f]{1,8})[ \t]*(;.*)?")
@@ -40,7 +40,7 @@
     def line(self, data, start, what, end=END):
         """The bytes up to `end`, or None while it has not come."""
         stop = data.find(end, start)
-        if (stop if stop >= 0 else len(data)) - start > HEAD_MOST:
+        if (stop if stop >= 0 else len(data)) - start > HEAD:
             raise bad(f"{what} is too long")
         return data[start:stop] if stop >= 0 else None
 
--- /dev/null
+++ b/cranecleat/protocol/limits.py
@@ -0,0 +1,27 @@
+"""Every wait and limit of the network itself, each with its reason. None of them decides anything about calls."""
+
+from cranecleat.door import MICRO
+
+# Messages
+MESSAGE = 1 << 20  # bytes in a message, in either direction, as PROTOCOL states
+PARTS = 64  # lines that one message to a proxy may be split into, as PROTOCOL states
+LARGEST = 1e9  # of any figure: far beyond what a day can hold, far under what overflows
+HEAD = 1 << 14  # bytes of an answer's status line and headers, of a chunk's size line, of trailers
+LIST = 1 << 22  # bytes of one entry of the watch: a list of some ten thousand backends
+
+# Memory
+BUFFER = 1 << 14  # bytes of a pooled buffer: many reports, or a joining with room to spare
+HALF_READ = 1 / 16  # of the memory limit may hold half-read messages
+UNREAD = 128 << 10  # bytes that a party may leave unread, as PROTOCOL states
+
+# Who dials in
+MUTE = 10 * MICRO  # for the first useful message: proxies stall for seconds, strangers say nothing for ever
+SHARE = 1 / 4  # of the descriptors may belong to strangers, and as many to collectors
+BACKLOG = 256  # connections that may wait to be taken: all proxies at once after another coordinator's death
+
+# Discovery
+PULSE = 2 * MICRO  # a watch brings an empty line this often
+QUIET = PULSE * 3 // 2  # without one for this long it is dialled anew, well within the 6 s that PROTOCOL allows
+PROMPT = MICRO  # for the first answer of a watch, which the agent gives at once; two such waits fit in as well
+DIAL = MICRO // 2  # for a dial on one's own machine, where an answer is there at once or not at all
+FIRST_WAIT, LONGEST_WAIT = MICRO // 20, MICRO  # between dials: doubled each time, with half of it left to chance
--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -3,17 +3,15 @@
 import re
 
 from cranecleat.door import MICRO
+from cranecleat.protocol.limits import LARGEST, MESSAGE, PARTS
 from cranecleat.protocol.reasons import Reason, Unreadable
 
 END = b"\r\n"
-MOST = 1 << 20  # bytes in a message, in either direction
-PARTS = 64  # lines that one message to a proxy may be split into
 MILLI = MICRO // 1000
 FIGURE = re.compile(r"\d{1,18}(\.\d{0,18})?([eE][+-]?\d{1,2})?", re.ASCII)
 WHOLE = re.compile(r"\d{1,15}", re.ASCII)
 KIND = re.compile(r"[a-z_]{1,40}")
 BUSY, SERVED = ("utilization", "util"), ("throughput", "qps")  # a load report's words, as met and as documented
-LARGEST = 1e9  # of any figure: far beyond what a day can hold, far under what overflows
 
 
 def split(data):
@@ -147,6 +145,6 @@
 def join(parts):
     """Lines of orders as one message, as long as one may be."""
     message = b" part=1\r\n".join(parts) + END
-    if len(parts) > PARTS or len(message) > MOST:
+    if len(parts) > PARTS or len(message) > MESSAGE:
         raise ValueError(f"a message of {len(parts)} parts and {len(message)} bytes")
     return message
--- a/cranecleat/protocol/registry.py
+++ b/cranecleat/protocol/registry.py
@@ -8,16 +8,11 @@
 from cranecleat.door import MICRO
 from cranecleat.protocol import http
 from cranecleat.protocol.connections import Connection
+from cranecleat.protocol.limits import DIAL, FIRST_WAIT, LIST, LONGEST_WAIT, PROMPT, QUIET
 from cranecleat.protocol.reasons import Reason, Unreadable
 
 STATES = {"active": "running", "leaving": "draining", "left": "gone"}
 NAME = re.compile(r"[^\s,:+=]{1,200}")  # what can stand in an order
-LIST_MOST = 1 << 22  # bytes of one entry of the watch: a list of some ten thousand backends
-PULSE = 2 * MICRO  # a watch brings an empty line this often
-QUIET = PULSE * 3 // 2  # without one for this long it is dialled anew, well within the 6 s that PROTOCOL allows
-PROMPT = MICRO  # for the first answer of a watch, which the agent gives at once; two such waits fit in as well
-DIAL = MICRO // 2  # for a dial on one's own machine, where an answer is there at once or not at all
-FIRST_WAIT, LONGEST_WAIT = MICRO // 20, MICRO  # between dials: doubled each time, with half of it left to chance
 
 
 def decode(entry, zones, kinds):
@@ -52,7 +47,7 @@
 
     def take(self, piece):
         *whole, self.half = (self.half + piece).split(b"\n")
-        if len(self.half) > LIST_MOST:
+        if len(self.half) > LIST:
             raise Unreadable(Reason.TOO_LONG, "an entry of the watch without an end")
         return whole
 
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -1,10 +1,13 @@
 """The coordinator: what came in goes to the planner once a round, what it decides goes to the streams."""
 
+import re
+
 from cranecleat.door import Names
 from cranecleat.memory.pool import Pool
 from cranecleat.memory.streams import Streams
 from cranecleat.policy import Planner
-from cranecleat.protocol.connections import BUFFER, HALF_READ, SHARE, Incoming
+from cranecleat.protocol.connections import Incoming
+from cranecleat.protocol.limits import BUFFER, HALF_READ, SHARE
 from cranecleat.protocol.lines import Reader
 from cranecleat.protocol.reasons import Reason
 from cranecleat.protocol.registry import Registry
@@ -24,8 +27,7 @@
         self.connections, self.strangers, self.collectors, self.stopping = set(), set(), set(), False
         self.registry = Registry(self, station.discovery, station.known[0], station.seed)
         self.planner = Planner(station.bootstrap, station.seed)
-        self.streams = Streams(self.names, station.routes, self.wake, lambda: None,
-                               lambda text: log.info("planner", says=text))
+        self.streams = Streams(self.names, station.routes, self.wake, self.watch, self.says)
         self.arrivals, self.waiting, self.last, self.longest = [], False, 0, 0
 
     def start(self):
@@ -49,7 +51,7 @@
     def listed(self, scope, entries):
         entries = [(self.names(name), *rest) for name, *rest in entries]
         for backend, state, *_ in entries:
-            self.log.info("listed", scope=scope, backend=backend, uid=self.names.ids[backend], state=state)
+            self.log.info("listed", scope=scope, uid=self.names.ids[backend], state=state)
         self.told(("listed", scope, entries))
 
     def joined(self, connection, zone, typical, standing):
@@ -73,11 +75,20 @@
             group.discard(longest)
             longest.end(Reason.CROWDED)
 
-    # Rounds
+    # What the planner asks for, beside orders
+
+    def says(self, text):
+        """Its numbers mean nothing to who reads the log."""
+        self.log.info("planner", says=re.sub(r"(?<=backend )\d+", lambda m: self.names.ids[int(m[0])], text))
+
+    def watch(self):
+        """A watch is kept up in any case, and dialled anew when it fails: see protocol/registry.py."""
 
     def wake(self, at, number):
         self.clock.at(at, lambda: self.told(("woke", number)))
 
+    # Rounds
+
     def round(self):
         self.waiting = False
         if self.stopping:
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -8,6 +8,7 @@
 import time
 
 from cranecleat.door import Malformed
+from cranecleat.protocol.limits import BACKLOG
 from cranecleat.service.clock import Clock
 from cranecleat.service.coordinator import Coordinator
 from cranecleat.service.logs import open_log
@@ -42,7 +43,7 @@
     coordinator = Coordinator(station, Clock(loop, time.time()), log, failed)
     coordinator.start()
     try:
-        server = await loop.create_server(coordinator.accept, *station.listen, backlog=256)
+        server = await loop.create_server(coordinator.accept, *station.listen, backlog=BACKLOG)
     except OSError as failure:
         raise Malformed(f"cannot listen on {':'.join(map(str, station.listen))}: {failure.strerror}") from None
     coordinator.registry.dial()
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -150,7 +150,8 @@
         self.told = {
             "name": "n0", "listen": "{}:{}".format(*self.address), "seed": "8c1f",
             "discovery": "{}:{}".format(*self.registry.getsockname()), "settings": INFO,
-            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.list(41, s_1="active"), **changes}
+            "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.list(41, s_1="active"),
+            **changes}
 
     def list(self, rev, full=True, **states):
         return {"rev": rev, "all": full, "targets": [
@@ -162,7 +163,8 @@
         self.path.write_text(self.told if isinstance(self.told, str) else json.dumps(self.told))
         code = f"{before}\nimport sys; from cranecleat.service.run import main; sys.exit(main())"
         self.process = subprocess.Popen(
-            [sys.executable, "-c", code], bufsize=0, stdout=stdout, stderr=subprocess.PIPE, cwd=Path(__file__).parent.parent,
+            [sys.executable, "-c", code], bufsize=0, stdout=stdout, stderr=subprocess.PIPE,
+            cwd=Path(__file__).parent.parent,
             env={**os.environ, "BALANCER_CONFIG": str(self.path), "PYTHONDONTWRITEBYTECODE": "1"}, **more)
         self.started.append(self.process)
         return self
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -2,8 +2,8 @@
 
 import zlib
 
-from scene import BOOT, SECOND, Desk, cost, same
 from cranecleat.policy import Planner
+from scene import BOOT, SECOND, Desk, cost, same
 
 
 def laid(proxies=2):
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -7,13 +7,15 @@
 from cranecleat.door import Names
 from cranecleat.memory.pool import Exhausted, HalfRead, Pool
 from cranecleat.protocol import http, lines, registry
+from cranecleat.protocol.limits import HEAD
 from cranecleat.protocol.reasons import Unreadable
 from scene import same
 
 ZONES, KINDS = {"a": 0, "b": 1}, {"big": 0, "small": 1}
 LINES = (b"hb\r\nattach node=3 locality=a w=21.5 cold=1\r\ndone node=3 nonce=905 latency=310.4\r\n"
          b"client_stats node=3 route=read total=19 errors=0 interval=1000.0 more=x\r\n"
-         b"upstream_stats locality=b endpoint=s-1 total=212 errors=3 rtt=41.7 interval=1000.0 metrics=util:0.61,qps:140\r\n"
+         b"upstream_stats locality=b endpoint=s-1 total=212 errors=3 rtt=41.7 interval=1000.0 "
+         b"metrics=util:0.61,qps:140\r\n"
          b"upstream_stats locality=b endpoint=s-9 total=1 errors=0 rtt=0 interval=5e2\r\n")
 ENTRY = {"uid": "s-1", "endpoint": "10.1.0.18:5000", "az": "a", "model": "big", "pod_group": 3, "state": "leaving",
          "capacity_hint": 1.5, "boot_ms": 1700000000123}
@@ -66,7 +68,8 @@
 
 
 def test_what_is_no_line_is_told_apart():
-    bad = [b"", b" ", b"\xff\xfe", b"hb=1", b"done node=1 node=1 nonce=1 latency=1", b"done node=1 nonce", b"done  node=1",
+    bad = [b"", b" ", b"\xff\xfe", b"hb=1", b"done node=1 node=1 nonce=1 latency=1", b"done node=1 nonce",
+           b"done  node=1",
            b"done nonce=1 latency=1", b"done node=1 nonce=1", b"done node=8 nonce=1 latency=1",
            b"done latency=1 nonce=1 node=-1", b"done latency=1 nonce=1 node=1.5", b"done latency=1 node=1 nonce=nan",
            b"done latency=1 node=1 nonce=99999999999", "done latency=1 nonce=1 node=\u0663".encode(),
@@ -101,7 +104,7 @@
            ok + b"Content-Length: -1\r\n\r\n", ok + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
            ok + b"Transfer-Encoding: gzip\r\n\r\n", ok + b"Transfer-Encoding: chunked\r\nContent-Length: 3\r\n\r\n",
            ok + b"Transfer-Encoding: chunked\r\n\r\nxyz\r\n", ok + b"Transfer-Encoding: chunked\r\n\r\n123456789\r\n",
-           ok + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", ok + b"X: " + b"y" * http.HEAD_MOST]
+           ok + b"Transfer-Encoding: chunked\r\n\r\n1\r\nabc\r\n", ok + b"X: " + b"y" * HEAD]
     text = []
     for stream in bad:
         with pytest.raises(Unreadable) as wrong:
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -7,9 +7,10 @@
 import socket
 import struct
 
-from cranecleat.protocol.connections import MUTE, UNREAD, Incoming
+from cranecleat.protocol.connections import Incoming
+from cranecleat.protocol.limits import MUTE, PROMPT, QUIET, UNREAD
 from cranecleat.protocol.reasons import Reason
-from cranecleat.protocol.registry import PROMPT, QUIET, Watch
+from cranecleat.protocol.registry import Watch
 from cranecleat.service.clock import Clock
 from cranecleat.service.coordinator import Coordinator
 from cranecleat.service.start import read
@@ -27,7 +28,8 @@
         proxy = service.dial("hb", ATTACH)
         text += service.read(proxy, BINDING).split("\r\n") + [service.log("joined")]
         service.dial("telemetry locality=a",
-                     "upstream_stats locality=a endpoint=s-1 total=9 errors=0 rtt=50 interval=1000 metrics=util:0.5,qps:9",
+                     "upstream_stats locality=a endpoint=s-1 total=9 errors=0 rtt=50 interval=1000 "
+                     "metrics=throughput:9,utilization:0.5",
                      "client_stats node=3 route=read total=9 errors=0 interval=1000")
         text.append("# a newer stream of the same proxy: the older one ends, and that means nothing")
         newer = service.dial(ATTACH)
@@ -65,7 +67,8 @@
     with Service(tmp_path).start() as service:
         proxy, text = service.dial(ATTACH), []
         service.read(proxy, BINDING)
-        for bad in (["\u00e9\x00"], ["hb x"], ["done node=3 nonce=1 latency=1"], ["attach node=99 locality=a w=1 cold=1"],
+        for bad in (["\u00e9\x00"], ["hb x"], ["done node=3 nonce=1 latency=1"],
+                    ["attach node=99 locality=a w=1 cold=1"],
                     ["attach node=1 locality=zz w=1 cold=1"], ["telemetry locality=a", "owner"], ["x" * 20_000],
                     ["attach node=1 locality=a w=1 cold=1", "done node=2 nonce=1 latency=1"],
                     ["telemetry locality=a", "client_stats node=1 route=read total=1e9 errors=0 interval=nan"]):
