--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -16,7 +16,8 @@
          b"client_stats node=3 route=read total=19 errors=0 interval=1000.0 more=x\r\n"
          b"upstream_stats locality=b endpoint=s-1 total=212 errors=3 rtt=41.7 interval=1000.0 "
          b"metrics=util:0.61,qps:140\r\n"
-         b"upstream_stats locality=a endpoint=s-1 total=2 errors=0 rtt=9 interval=1 metrics=throughput:9,utilization:0.5\r\n"
+         b"upstream_stats locality=a endpoint=s-1 total=2 errors=0 rtt=9 interval=1 "
+         b"metrics=throughput:9,utilization:0.5\r\n"
          b"upstream_stats locality=b endpoint=s-9 total=1 errors=0 rtt=0 interval=5e2\r\n")
 ENTRY = {"uid": "s-1", "endpoint": "10.1.0.18:5000", "az": "a", "model": "big", "pod_group": 3, "state": "leaving",
          "capacity_hint": 1.5, "boot_ms": 1700000000123}
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -105,6 +105,15 @@
     same("service_discovery", text)
 
 
+def test_discovery_that_refuses_is_dialled_again_and_again_while_the_known_list_serves(tmp_path):
+    with Service(tmp_path) as service:
+        service.registry.close()
+        service.start()
+        assert [service.log("discovery").split(" detail=")[0] for _ in range(3)] == [
+            "level=info event=connection_ended name=n0 code=refused who=discovery"] * 3
+        assert service.read(service.dial(ATTACH), BINDING)
+
+
 def test_strangers_in_hundreds_leave_proxies_and_collectors_their_place(tmp_path):
     limits = {"cores": 1.0, "memory_mb": 192, "sockets": 40}
     with Service(tmp_path, limits=limits).start() as service:
@@ -270,6 +279,24 @@
     assert still.ended and proxy.reason is Reason.UNREAD
 
 
+def test_a_silent_stream_stays_joined_and_a_mark_from_a_replaced_one_is_not_heard(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    hub.start()
+    rounds = []
+    hub.planner.round = lambda now, calls, out: rounds.extend(calls)
+    streams = [hub.accept() for _ in range(2)]
+    for stream in streams:
+        stream.connection_made(Still())
+        say(stream, b"attach node=3 locality=a w=1 cold=1\r\n")
+    say(streams[0], b"done node=3 nonce=1 latency=9\r\n")
+    streams[0].connection_lost(None)
+    still.pass_to(600.0)
+    assert streams[1].reason is None and hub.streams.joined[3].connection is streams[1]
+    say(streams[1], b"done node=3 nonce=1 latency=600000\r\n")
+    still.pass_to(601.0)
+    assert rounds == [("joined", 3, 0, 1.0, True, 0)] * 2 + [("woke", 0), ("applied", 3, 1)]
+
+
 def test_reports_on_what_was_never_listed_take_no_memory(tmp_path):
     _, hub = quiet_hub(tmp_path)
     collector = hub.accept()
