Clean-up of the service's code: dead conditions and parameters go, twins share one piece

Found in a second reading of the whole change; behaviour and traces are the same. http.py, Answer.take: a comparison of bound methods that was always true, and a break that the steps already give; connections.py asks in one place whether somebody is a stranger; milliseconds are turned at the door once (MILLI); streams.py hands the log through as it does the clock; registry.py lets its own errors pass before it words others; open_log, Desk and Service.start lose parameters that nobody gave, run.py's exit code 0 its wrong name.

--- a/cranecleat/door.py
+++ b/cranecleat/door.py
@@ -3,12 +3,12 @@
 
 from cranecleat.interface import Bootstrap, Route
 
-MICRO = 1_000_000
+MICRO, MILLI = 1_000_000, 1_000  # microseconds in a second, in a millisecond
 ADMISSIONS = ("fraction", "per_second", "silent")
 
 
 class Malformed(ValueError):
-    """The front sent something that the adapter cannot read; the text says what."""
+    """Something that a front was given and cannot read; the text says what."""
 
 
 def micros(seconds):
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -20,7 +20,7 @@
 
     def __init__(self, names, routes, wake, watch, log):
         self.names, self.routes = names, routes  # backends' names; routes' names
-        self.wake, self.watch, self.say = wake, watch, log
+        self.wake, self.watch, self.log = wake, watch, log
         self.joined, self.ever = {}, {}  # proxy -> stream; proxy -> backends that it was ever told to shut out
         self.tables, self.out = {}, set()  # table -> {backend: weight}; backends withdrawn
         self.levels = {}  # (table or None for all, route) -> (level, tries)
@@ -77,9 +77,6 @@
     def mark(self, number):
         self.stamp = number
 
-    def log(self, text):
-        self.say(text)
-
     # What each proxy has to be told
 
     def messages(self):
--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -79,13 +79,18 @@
         self.number, self.use_message = None, self.greet
         self.asked = False  # for a sign of life, since it was last looked at
 
+    @property
+    def stranger(self):
+        return self.use_message == self.greet
+
     def who(self):
-        return {"who": "proxy", "proxy": self.number} if self.number is not None else {
-            "who": "stranger" if self.use_message == self.greet else "collector"}
+        if self.number is not None:
+            return {"who": "proxy", "proxy": self.number}
+        return {"who": "stranger" if self.stranger else "collector"}
 
     @property
     def most(self):
-        return BUFFER - 1 if self.use_message == self.greet else super().most
+        return BUFFER - 1 if self.stranger else super().most
 
     def connection_made(self, transport):
         super().connection_made(transport)
@@ -99,7 +104,7 @@
 
     def expire(self):
         """A stranger that has said nothing of use for the whole wait goes; one that asks for a sign may stay."""
-        if self.use_message != self.greet or self.reason:
+        if not self.stranger or self.reason:
             return
         if self.hub.clock.now() - self.heard >= MUTE or not self.asked:
             self.end(Reason.MUTE)
--- a/cranecleat/protocol/http.py
+++ b/cranecleat/protocol/http.py
@@ -28,13 +28,8 @@
 
     def take(self, data):
         pieces, used = [], 0
-        while not self.ended:
-            step = self.step(data, used, pieces)
-            if not step and self.step is not self.body_to_end:
-                break
-            used += step
-            if used >= len(data):
-                break
+        while not self.ended and (taken := self.step(data, used, pieces)):
+            used += taken
         return pieces, used
 
     def line(self, data, start, what, end=END):
--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -2,12 +2,11 @@
 
 import re
 
-from cranecleat.door import MICRO
+from cranecleat.door import MILLI
 from cranecleat.protocol.limits import LARGEST, MESSAGE, PARTS
 from cranecleat.protocol.reasons import Reason, Unreadable
 
 END = b"\r\n"
-MILLI = MICRO // 1000
 FIGURE = re.compile(r"\d{1,18}(\.\d{0,18})?([eE][+-]?\d{1,2})?", re.ASCII)
 WHOLE = re.compile(r"\d{1,15}", re.ASCII)
 KIND = re.compile(r"[a-z_]{1,40}")
--- a/cranecleat/protocol/reasons.py
+++ b/cranecleat/protocol/reasons.py
@@ -10,7 +10,7 @@
     STOPPING = "stopping"  # the coordinator ends
     MUTE = "mute"  # connected and said nothing of use in time
     CROWDED = "crowded"  # connections without a name took up their share of the descriptors
-    SILENT = "silent"  # said what it was, then nothing for too long
+    SILENT = "silent"  # a watch without its pulse
     UNREAD = "unread"  # left too much unread
     TOO_LONG = "too_long"  # a message over the limit, or one without an end
     HALF_READ = "half_read"  # all buffers for half-read messages were in use
--- a/cranecleat/protocol/registry.py
+++ b/cranecleat/protocol/registry.py
@@ -5,7 +5,7 @@
 import re
 import zlib
 
-from cranecleat.door import MICRO
+from cranecleat.door import MICRO, MILLI
 from cranecleat.protocol import http
 from cranecleat.protocol.connections import Connection
 from cranecleat.protocol.limits import DIAL, FIRST_WAIT, LIST, LONGEST_WAIT, PROMPT, QUIET
@@ -27,15 +27,15 @@
             if not 0 <= started <= 1e15 or not 0 <= size <= 1e9:
                 raise Unreadable(Reason.BAD_LIST, f"{name}: a figure out of range")
             records.append((name, STATES[state], zones[target["az"]], kinds[target["model"]], float(size),
-                            round(started * MICRO / 1000)))
+                            round(started * MILLI)))
         if isinstance(version, bool) or not isinstance(version, int):
             raise Unreadable(Reason.BAD_LIST, "a version that is no whole number")
         return version, "whole" if entry["all"] else "changes", records
+    except Unreadable:
+        raise
     except KeyError as missing:
         raise Unreadable(Reason.BAD_LIST, f"missing or unknown: {missing.args[0]!r:.60}") from None
     except (TypeError, AttributeError, ValueError, OverflowError) as wrong:
-        if isinstance(wrong, Unreadable):
-            raise
         raise Unreadable(Reason.BAD_LIST, f"no list of backends: {wrong}") from None
 
 
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -49,10 +49,9 @@
                 self.clock.at(max(self.clock.now(), self.last + self.station.round), self.round)
 
     def listed(self, scope, entries):
-        entries = [(self.names(name), *rest) for name, *rest in entries]
-        for backend, state, *_ in entries:
-            self.log.info("listed", scope=scope, uid=self.names.ids[backend], state=state)
-        self.told(("listed", scope, entries))
+        for name, state, *_ in entries:
+            self.log.info("listed", scope=scope, uid=name, state=state)
+        self.told(("listed", scope, [(self.names(name), *rest) for name, *rest in entries]))
 
     def joined(self, connection, zone, typical, standing):
         old, brought = self.streams.join(connection.number, connection, standing)
--- a/cranecleat/service/logs.py
+++ b/cranecleat/service/logs.py
@@ -29,7 +29,7 @@
     log = debug = info = warning = warn = error = critical = exception = fatal = failure = err = msg
 
 
-def open_log(name, sink=None):
+def open_log(name):
     structlog.configure(
         processors=[
             structlog.processors.add_log_level,
@@ -38,7 +38,7 @@
             lambda _, __, event: {key: value for key, value in event.items() if value is not None},
             structlog.processors.LogfmtRenderer(key_order=["timestamp", "level", "event"], bool_as_flag=False),
         ],
-        logger_factory=lambda *_: sink or Sink(),
+        logger_factory=lambda *_: Sink(),
         cache_logger_on_first_use=True,
     )
     return structlog.get_logger().bind(name=name)
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -14,12 +14,12 @@
 from cranecleat.service.logs import open_log
 from cranecleat.service.start import read
 
-STARTED, FAILED, CANNOT_START = 0, 1, 2  # exit codes
+STOPPED, FAILED, CANNOT_START = 0, 1, 2  # exit codes
 
 
 async def serve(station, log):
     """Runs until a signal or a failure of the planner; returns the exit code."""
-    loop = asyncio.get_running_loop()
+    loop, where = asyncio.get_running_loop(), ":".join(map(str, station.listen))
     ended = loop.create_future()
 
     def end(code):
@@ -32,7 +32,7 @@
 
     def stopped(number):
         log.info("stopping", signal=signal.Signals(number).name)
-        end(STARTED)
+        end(STOPPED)
 
     def internal(_, context):
         log.error("internal", says=context["message"], exc_info=context.get("exception"))
@@ -45,10 +45,10 @@
     try:
         server = await loop.create_server(coordinator.accept, *station.listen, backlog=BACKLOG)
     except OSError as failure:
-        raise Malformed(f"cannot listen on {':'.join(map(str, station.listen))}: {failure.strerror}") from None
+        raise Malformed(f"cannot listen on {where}: {failure.strerror}") from None
     coordinator.registry.dial()
     gc.freeze()
-    log.info("serving", listen=":".join(map(str, station.listen)), backends=len(coordinator.names.ids))
+    log.info("serving", listen=where, backends=len(coordinator.names.ids))
     code = await ended
     server.close()
     coordinator.stop()
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -90,21 +90,11 @@
     assert text == path.read_text()
 
 
-class Sent:
-    """A connection that only keeps what was written to it."""
-
-    def __init__(self):
-        self.messages = []
-
-    def write(self, message):
-        self.messages.append(message.decode())
-
-
 class Desk:
     """The planner's orders as the messages of each stream: a trace, or the state that a proxy draws from them."""
 
     def __init__(self, backends=4, routes=("read", "find")):
-        self.names, self.text, self.planner = Names(), [], None
+        self.names, self.text = Names(), []
         for b in range(backends):
             self.names(f"s-{b}")
         self.streams = Streams(self.names, routes, lambda *_: None, lambda: None, self.say)
@@ -113,8 +103,7 @@
         self.text.append(f"# {text}")
 
     def join(self, proxy, standing=True):
-        connection = Sent()
-        _, brought = self.streams.join(proxy, connection, standing)
+        _, brought = self.streams.join(proxy, object(), standing)
         self.say(f"proxy {proxy} joins{'' if standing else ' with ordered tables'}")
         return brought
 
@@ -158,12 +147,12 @@
             {"uid": name.replace("_", "-"), "endpoint": "10.0.0.1:80", "az": "b", "model": "big", "pod_group": 0,
              "state": state, "capacity_hint": 1.0, "boot_ms": 0} for name, state in states.items()]}
 
-    def start(self, before="", stdout=subprocess.PIPE, **more):
+    def start(self, before="", **more):
         """`before` runs in the new process ahead of the program."""
         self.path.write_text(self.told if isinstance(self.told, str) else json.dumps(self.told))
         code = f"{before}\nimport sys; from cranecleat.service.run import main; sys.exit(main())"
         self.process = subprocess.Popen(
-            [sys.executable, "-c", code], bufsize=0, stdout=stdout, stderr=subprocess.PIPE,
+            [sys.executable, "-c", code], bufsize=0, stdout=subprocess.PIPE, stderr=subprocess.PIPE,
             cwd=Path(__file__).parent.parent,
             env={**os.environ, "BALANCER_CONFIG": str(self.path), "PYTHONDONTWRITEBYTECODE": "1"}, **more)
         self.started.append(self.process)
