SIGHUP reads the configuration again and moves the watch to the new discovery

Checked: the log ends in the turn of the signal, no planner failure.

Now the file is read again (its discovery wins over a variable, which nobody can change from outside); the watch on the new address is dialled at once, the old one stays until the new one has spoken and then ends as replaced; its end, or a dial that was due for an address left meanwhile, starts nothing. Older changes are dropped, an older whole list is refused for the 6 s that an agent may lag. SIGHUP is held back from main's first line until it can be heard. A bad file changes nothing (reload_failed); what cannot change is named (kept).

Simulated servers, real sockets.

--- a/cranecleat/protocol/limits.py
+++ b/cranecleat/protocol/limits.py
@@ -23,5 +23,6 @@
 PULSE = 2 * MICRO  # a watch brings an empty line this often
 QUIET = PULSE * 3 // 2  # without one for this long it is dialled anew, well within the 6 s that PROTOCOL allows
 PROMPT = MICRO  # for the first answer of a watch, which the agent gives at once; two such waits fit in as well
+LAG = 6 * MICRO  # an agent may be that far behind, as PROTOCOL states
 DIAL = MICRO // 2  # for a dial on one's own machine, where an answer is there at once or not at all
 FIRST_WAIT, LONGEST_WAIT = MICRO // 20, MICRO  # between dials: doubled each time, with half of it left to chance
--- a/cranecleat/protocol/registry.py
+++ b/cranecleat/protocol/registry.py
@@ -8,7 +8,7 @@
 from cranecleat.door import MICRO, MILLI
 from cranecleat.protocol import http
 from cranecleat.protocol.connections import Connection
-from cranecleat.protocol.limits import DIAL, FIRST_WAIT, LIST, LONGEST_WAIT, PROMPT, QUIET
+from cranecleat.protocol.limits import DIAL, FIRST_WAIT, LAG, LIST, LONGEST_WAIT, PROMPT, QUIET
 from cranecleat.protocol.reasons import Reason, Unreadable
 
 STATES = {"active": "running", "leaving": "draining", "left": "gone"}
@@ -63,13 +63,16 @@
     def __init__(self, hub, registry):
         super().__init__(hub)
         self.registry, self.answer, self.lines = registry, http.Answer(), Lines()
+        self.address, self.move = registry.address, registry.moves
 
     def who(self):
         return {"who": "discovery"}
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        self.write(http.get(self.registry.host, f"/registry/instances?watch=1&from={self.registry.version}"))
+        self.registry.watches.add(self)
+        path = f"/registry/instances?watch=1&from={self.registry.version}"
+        self.write(http.get(":".join(map(str, self.address)), path))
         self.look()
 
     def use(self, data):
@@ -80,7 +83,7 @@
         for line in found:
             if line.strip():
                 self.registry.heard(line)
-            self.registry.failures = 0
+            self.registry.alive(self)
         if self.answer.ended:
             self.end(Reason.CLOSED, "the watch has ended")
         return used
@@ -98,39 +101,75 @@
 
     def connection_lost(self, failure):
         super().connection_lost(failure)
-        self.registry.again()
+        self.registry.lost(self)
 
 
 class Registry:
-    """Keeps one watch up, and hands on what it brings."""
+    """Keeps one watch up, and hands on what it brings. After a move to another address the old watch stays until the
+    new one speaks, so that no change falls between them; what the old one does from then on starts nothing."""
 
     def __init__(self, hub, address, version, seed):
-        self.hub, self.host, self.version = hub, ":".join(map(str, address)), version
-        self.address, self.seed, self.failures, self.draws, self.dialling = address, seed, 0, 0, None
+        self.hub, self.address, self.version, self.seed = hub, address, version, seed
+        self.moves, self.watches = 0, set()
+        self.failures, self.draws, self.dialling, self.due = 0, 0, None, False
+        self.reached = hub.clock.now()  # when the version was
 
-    def dial(self):
-        if not self.hub.stopping:
-            self.dialling = asyncio.ensure_future(self.connect())
+    def follow(self, address):
+        if address == self.address:
+            return
+        self.address, self.moves, self.failures, self.due = address, self.moves + 1, 0, False
+        if self.dialling:
+            self.dialling.cancel()
+        self.dial(self.moves)
+
+    def dial(self, move=0):
+        """One that fell due for an address that has been left comes to nothing."""
+        if not self.hub.stopping and move == self.moves:
+            self.due, self.dialling = False, asyncio.ensure_future(self.connect())
 
     async def connect(self):
+        move = self.moves
         try:
             async with asyncio.timeout(DIAL / MICRO):
                 await asyncio.get_running_loop().create_connection(lambda: Watch(self.hub, self), *self.address)
         except OSError as failure:  # a dial that takes too long is one as well
             self.hub.log.info("connection_ended", code=Reason.REFUSED.value, who="discovery", detail=str(failure))
-            self.again()
+            self.again(move)
 
-    def again(self):
+    def again(self, move):
         """Dials after a wait that grows with each failure in a row, so that a list in trouble is left alone."""
-        self.failures, self.draws = self.failures + 1, self.draws + 1
+        if self.due or move != self.moves:
+            return
+        self.due, self.failures, self.draws = True, self.failures + 1, self.draws + 1
         wait = min(FIRST_WAIT << min(self.failures, 10), LONGEST_WAIT)
         chance = zlib.crc32(f"{self.seed}:dial:{self.draws}".encode()) / 2**32
-        self.hub.clock.at(self.hub.clock.now() + int(wait * (1 + chance) / 2), self.dial)
+        self.hub.clock.at(self.hub.clock.now() + int(wait * (1 + chance) / 2), lambda: self.dial(move))
+
+    def lost(self, watch):
+        self.watches.discard(watch)
+        self.again(watch.move)
+
+    def alive(self, watch):
+        """The watch of where discovery is now speaks: the others have nothing more to say."""
+        if watch.move == self.moves:
+            self.failures = 0
+            for other in self.watches - {watch}:
+                other.end(Reason.REPLACED)
 
     def heard(self, line):
+        """Two watches, or an agent that lags, may bring what has been told already: changes are dropped then, and a
+        whole list refused, its watch with it, for as long as an agent may lag. Could do harm where versions are
+        counted anew: such a list is believed only after that time."""
         try:
             entry = json.loads(line)
         except (ValueError, RecursionError) as wrong:
             raise Unreadable(Reason.BAD_LIST, f"no JSON: {wrong}") from None
-        self.version, scope, entries = decode(entry, self.hub.reader.zones, self.hub.kinds)
+        version, scope, entries = decode(entry, self.hub.reader.zones, self.hub.kinds)
+        now = self.hub.clock.now()
+        if version < self.version:
+            if scope == "changes":
+                return
+            if now - self.reached < LAG:
+                raise Unreadable(Reason.BAD_LIST, f"version {version} after {self.version}")
+        self.version, self.reached = version, now
         self.hub.listed(scope, entries)
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -74,6 +74,12 @@
             group.discard(longest)
             longest.end(Reason.CROWDED)
 
+    def follow(self, station):
+        """A new configuration: discovery moves, all else stays as it was at the start."""
+        self.log.info("reloaded", discovery=":".join(map(str, station.discovery)),
+                      kept=",".join(self.station.kept(station)) or None)
+        self.registry.follow(station.discovery)
+
     # What the planner asks for, beside orders
 
     def says(self, text):
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -12,7 +12,7 @@
 from cranecleat.service.clock import Clock
 from cranecleat.service.coordinator import Coordinator
 from cranecleat.service.logs import open_log
-from cranecleat.service.start import read
+from cranecleat.service.start import read, reread
 
 STOPPED, FAILED, CANNOT_START = 0, 1, 2  # exit codes
 
@@ -34,6 +34,12 @@
         log.info("stopping", signal=signal.Signals(number).name)
         end(STOPPED)
 
+    def reloaded():
+        try:
+            coordinator.follow(reread(os.environ))
+        except Malformed as wrong:
+            log.error("reload_failed", says=str(wrong))
+
     def internal(_, context):
         log.error("internal", says=context["message"], exc_info=context.get("exception"))
 
@@ -41,6 +47,8 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped, number)
     coordinator = Coordinator(station, Clock(loop, time.time()), log, failed)
+    loop.add_signal_handler(signal.SIGHUP, reloaded)
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     coordinator.start()
     try:
         server = await loop.create_server(coordinator.accept, *station.listen, backlog=BACKLOG)
@@ -58,6 +66,7 @@
 
 
 def main():
+    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # one that comes this early waits until it can be heard
     try:
         station = read(os.environ)
         return asyncio.run(serve(station, open_log(station.name)))
--- a/cranecleat/service/start.py
+++ b/cranecleat/service/start.py
@@ -1,7 +1,7 @@
 """What a coordinator is told at its start, from its configuration and its variables."""
 
 import json
-from dataclasses import dataclass
+from dataclasses import dataclass, fields
 
 from cranecleat.door import Malformed, bootstrap, micros
 from cranecleat.interface import Bootstrap
@@ -28,6 +28,12 @@
     known: tuple[int, list]  # the list as last had: its version and entries
 
 
+    def kept(self, other):
+        """What `other` says differently and cannot change while running; each start has its own seed and list."""
+        names = {field.name for field in fields(self)} - {"discovery", "seed", "known"}
+        return sorted(name for name in names if getattr(self, name) != getattr(other, name))
+
+
 def address(text):
     host, colon, port = str(text).rpartition(":")
     if not (host and colon and port.isdigit() and 0 < int(port) < 65536):
@@ -76,3 +82,9 @@
         raise Malformed(f"{path}: {wrong}") from None
     except (TypeError, ValueError, AttributeError) as wrong:
         raise Malformed(f"{path}: {wrong}") from None
+
+
+def reread(variables):
+    """The station that the file describes now. A variable cannot be changed from outside while running: where one
+    named discovery at the start, the file does from now on."""
+    return read({name: value for name, value in variables.items() if name != "BALANCER_DISCOVERY"})
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -7,6 +7,7 @@
 import os
 import re
 import selectors
+import signal
 import socket
 import subprocess
 import sys
@@ -124,6 +125,11 @@
     return head + lists + sum(name in ("gate", "stamp", "replace") for name, _, _ in words)
 
 
+def chunk(entry):
+    body = json.dumps(entry).encode() + b"\n"
+    return b"%x\r\n%s\r\n" % (len(body), body)
+
+
 class Service:
     """A coordinator's process with this test as its discovery, its proxies and its collectors."""
 
@@ -138,7 +144,7 @@
         self.started = []
         self.told = {
             "name": "n0", "listen": "{}:{}".format(*self.address), "seed": "8c1f",
-            "discovery": "{}:{}".format(*self.registry.getsockname()), "settings": INFO,
+            "discovery": self.where(self.registry), "settings": INFO,
             "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024}, "known": self.list(41, s_1="active"),
             **changes}
 
@@ -191,12 +197,19 @@
         taken, _ = self.registry.accept()
         self.open.append(taken)
         asked = self.read(taken, rb"\r\n\r\n").split("\r\n")[0]
-        taken.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        for entry in entries:
-            body = json.dumps(entry).encode() + b"\n"
-            taken.sendall(b"%x\r\n%s\r\n" % (len(body), body))
+        taken.sendall(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + b"".join(map(chunk, entries)))
         return taken, asked
 
+    @staticmethod
+    def where(listening):
+        return "{}:{}".format(*listening.getsockname())
+
+    def reload(self, text=None, **changes):
+        """A new configuration, and the signal to read it."""
+        self.told.update(changes)
+        self.path.write_text(text or json.dumps(self.told))
+        self.process.send_signal(signal.SIGHUP)
+
     def dial(self, *messages):
         deadline = time.monotonic() + self.WAIT
         while True:  # it listens soon after its start
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -8,14 +8,15 @@
 import struct
 
 from cranecleat.protocol.connections import Incoming
-from cranecleat.protocol.limits import MUTE, PROMPT, QUIET, UNREAD
+from cranecleat.protocol.limits import LAG, MUTE, PROMPT, QUIET, UNREAD
 from cranecleat.protocol.reasons import Reason
 from cranecleat.protocol.registry import Watch
 from cranecleat.service.clock import Clock
 from cranecleat.service.coordinator import Coordinator
 from cranecleat.service.start import read
-from scene import Service, same
+from scene import Service, chunk, same
 
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 ATTACH = "attach node=3 locality=a w=6.5 cold=1"
 BINDING = rb"stamp=(\d+)\r\n"
 
@@ -36,9 +37,7 @@
         service.read(proxy, None)
         text += service.read(newer, BINDING).split("\r\n") + [service.log("connection_ended")]
         text.append("# the backend drains")
-        body = b'{"rev":43,"all":false,"targets":[%s]}' % (
-            str(service.list(43, s_1="leaving")["targets"][0]).replace("'", '"').encode())
-        watch.sendall(b"%x\r\n%s\n\r\n" % (len(body) + 1, body))
+        watch.sendall(chunk(service.list(43, full=False, s_1="leaving")))
         text += service.read(newer, rb"drop=s-1(.|\r\n)*stamp=").split("\r\n")[:1]
         newer.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
         newer.close()
@@ -105,6 +104,35 @@
     same("service_discovery", text)
 
 
+def test_on_sighup_discovery_moves_and_all_else_stays(tmp_path):
+    with Service(tmp_path).start() as service, socket.create_server(("127.0.0.1", 0)) as second:
+        first, ports = service.registry, {service.address[1]: "HERE", second.getsockname()[1]: "SECOND"}
+        service.watch(service.list(42, full=False, s_2="active"))
+        proxy, text = service.dial(ATTACH), ["# half a file, then one that says more than can change"]
+        service.read(proxy, BINDING)
+        service.reload("{")
+        text.append(service.log("reload_failed").replace(str(tmp_path), ""))
+        service.registry = second
+        service.reload(discovery=service.where(second), seed="77", limits={"cores": 1, "memory_mb": 64, "sockets": 1024})
+        text.append(service.log("reloaded"))
+        _, asked = service.watch(service.list(44, full=False, s_3="active"))
+        text += [asked, service.log("listed.*s-3"), service.log("connection_ended.*discovery")]
+        text.append("# there and back at once, and there again; the old address refuses by now")
+        first.close()
+        for discovery in (first_address := service.told["discovery"], "127.0.0.1:9", first_address):
+            service.reload(discovery=discovery)
+        _, asked = service.watch(service.list(45, full=False, s_4="active"))
+        text += [asked, service.log("listed.*s-4")]
+        proxy.sendall(b"hb\r\n")
+        service.read(proxy, b"hb_ok")
+        text.append("# to where nobody listens, and SIGTERM right behind")
+        service.reload(discovery="127.0.0.1:9")
+        service.process.send_signal(signal.SIGTERM)
+        text += [service.log("stopped"), str(service.ended())]
+        text = [re.sub(r":(\d+)", lambda m: ":" + ports.get(int(m[1]), m[1]), line) for line in text]
+    same("service_reload", text)
+
+
 def test_discovery_that_refuses_is_dialled_again_and_again_while_the_known_list_serves(tmp_path):
     with Service(tmp_path) as service:
         service.registry.close()
@@ -253,20 +281,52 @@
 
 def test_a_watch_that_never_answers_is_given_up_soon_and_one_that_did_when_its_pulse_is_missed(tmp_path):
     still, hub = quiet_hub(tmp_path)
-    hub.registry.dial = lambda: dialled.append(still.seconds)
-    dialled, mute, alive, other = [], Watch(hub, hub.registry), Watch(hub, hub.registry), Still()
+    hub.registry.dial = lambda move: dialled.append(still.seconds)
+    dialled, mute, other = [], Watch(hub, hub.registry), Still()
     mute.connection_made(still)
-    alive.connection_made(other)
-    say(alive, b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\n\n\r\n")
-    still.pass_to(0.9)
-    say(alive, b"1\r\n\n\r\n")
     still.pass_to(PROMPT / 1e6)
-    assert mute.reason is Reason.SILENT and still.ended and not other.ended
+    assert mute.reason is Reason.SILENT and still.ended
     mute.connection_lost(None)
     still.pass_to(PROMPT / 1e6 + 0.1)
     assert len(dialled) == 1
-    still.pass_to(0.9 + QUIET / 1e6)
-    assert alive.reason is Reason.SILENT
+    alive = Watch(hub, hub.registry)
+    alive.connection_made(other)
+    for pulse in (HEAD + b"1\r\n\n\r\n", b"1\r\n\n\r\n"):
+        still.pass_to(still.seconds + 0.9)
+        say(alive, pulse)
+    still.pass_to(still.seconds + QUIET / 1e6 - 0.1)
+    assert alive.reason is None
+    still.pass_to(still.seconds + 0.1)
+    assert alive.reason is Reason.SILENT and other.ended
+
+
+def test_between_two_watches_no_change_is_lost_or_goes_back(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    hub.start()
+    dialled, ask = [], Service(tmp_path).list
+    hub.registry.dial = dialled.append
+    old = Watch(hub, hub.registry)
+    old.connection_made(Still())
+    say(old, HEAD + chunk(ask(43, full=False, s_2="active")))
+    hub.registry.follow(("127.0.0.1", 9))
+    new = Watch(hub, hub.registry)
+    new.connection_made(Still())
+    say(new, HEAD)
+    say(old, chunk(ask(44, full=False, s_2="leaving")))
+    assert old.reason is None and hub.registry.version == 44
+    say(new, chunk(ask(43, full=False, s_2="active")))
+    assert old.reason is Reason.REPLACED and hub.registry.version == 44
+    old.connection_lost(None)
+    say(new, chunk(ask(42, s_1="active")))
+    assert new.reason is Reason.BAD_LIST and "42 after 44" in new.detail
+    new.connection_lost(None)
+    still.pass_to(LAG / 1e6)
+    assert dialled == [1, 1]  # for the move, and after the end of the new watch; none after that of the old one
+    newest = Watch(hub, hub.registry)
+    newest.connection_made(Still())
+    say(newest, HEAD + chunk(ask(42, s_1="active")))
+    assert newest.reason is None and hub.registry.version == 42
+    same("service_two_watches", [str(line) for line in still.lines if line[0] != "planner"])
 
 
 def test_who_leaves_too_much_unread_is_reset(tmp_path):
