Bad input costs only itself; who has not joined after two seconds goes

Ruled out: descriptors (190 of 384), memory (17 of 80 MB), CPU (0.33 of 0.85). Faulty: lines.parse and Words raised one error for spoilt and unreadable alike, connections.buffer_updated ended the connection on it; MUTE, expire and the 'asked' exemption; create_server took up to 256 connections a turn and slept a second without descriptors.

Now a message that begins as one is dropped alone, counted and told in sums; data that is none ends the connection, also by the first bytes of what is half read; absurd figures are spoilt too. Strangers stand in order of coming with one wait for all; buffers and descriptors are given by the oldest stranger first; own listener, sixteen a turn.

--- a/cranecleat/memory/pool.py
+++ b/cranecleat/memory/pool.py
@@ -40,6 +40,9 @@
         end = self.filled - self.pool.size * (len(self.buffers) - 1)
         return bytes(memoryview(self.buffers[-1])[end - count : end])
 
+    def head(self, most):
+        return bytes(memoryview(self.buffers[0])[: min(most, self.filled)]) if self.buffers else b""
+
     def unread(self):
         return self.fresh(self.filled) if len(self.buffers) == 1 else b"".join(self.buffers)[: self.filled]
 
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -8,8 +8,8 @@
 
 
 class Stream:
-    def __init__(self, connection, ever, brought):
-        self.connection = connection
+    def __init__(self, connection, typical, ever, brought):
+        self.connection, self.typical = connection, typical  # its calls a second, as it said
         self.bound = {}  # route -> table
         self.shut, self.ever = set(), ever  # backends shut out on this stream, and on any of the proxy's
         self.brought = brought  # those that it may still shut out from earlier ones
@@ -33,13 +33,16 @@
 
     # Who is joined
 
-    def join(self, proxy, connection, standing):
+    def typical(self):
+        return sum(stream.typical for stream in self.joined.values())
+
+    def join(self, proxy, connection, typical, standing):
         """Returns the stream that this one replaces, and how many backends the proxy may come with shut out.
         One that holds ordered tables may have them from another coordinator, or from an earlier life of this
         one: it may shut out anything."""
         old, ever = self.joined.get(proxy), self.ever.setdefault(proxy, set())
         brought = set(ever) if standing else set(range(len(self.names.ids)))
-        self.joined[proxy] = Stream(connection, ever, brought)
+        self.joined[proxy] = Stream(connection, typical, ever, brought)
         return old, len(brought)
 
     def leave(self, proxy, connection):
--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -1,12 +1,47 @@
 """Connections as objects with callbacks: strangers, proxies and collectors that dial in."""
 
 import asyncio
+import errno
+import socket
 
 from cranecleat.door import MICRO
 from cranecleat.memory.pool import Exhausted, HalfRead
 from cranecleat.protocol import lines
-from cranecleat.protocol.limits import BUFFER, MESSAGE, MUTE, UNREAD
-from cranecleat.protocol.reasons import Reason, Unreadable
+from cranecleat.protocol.limits import AT_ONCE, BACKLOG, BUFFER, MESSAGE, PAUSE, UNREAD
+from cranecleat.protocol.reasons import Reason, Spoilt, Unreadable
+
+NO_ROOM = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
+
+class Listener:
+    """Takes who dials in, a few a turn: hundreds at once neither hold the loop up nor use up the descriptors before
+    one of them can be ended."""
+
+    def __init__(self, hub, where):
+        self.hub, self.loop = hub, asyncio.get_running_loop()
+        family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
+        self.socket = socket.create_server(where, family=family, backlog=BACKLOG)
+        self.socket.setblocking(False)
+        self.open()
+
+    def open(self):
+        if self.socket.fileno() >= 0:
+            self.loop.add_reader(self.socket, self.take)
+
+    def take(self):
+        try:
+            for _ in range(AT_ONCE):
+                taken, _ = self.socket.accept()
+                self.loop.create_task(self.loop.connect_accepted_socket(self.hub.accept, taken))
+        except OSError as failure:  # nobody waits any more, or who waited has gone
+            if failure.errno in NO_ROOM and not self.hub.drop_stranger(Reason.CROWDED, failure.strerror):
+                self.hub.count("no_descriptor", says=failure.strerror)
+                self.loop.remove_reader(self.socket)  # it would be called without end
+                self.hub.clock.at(self.hub.clock.now() + PAUSE, self.open)
+
+    def close(self):
+        self.loop.remove_reader(self.socket)
+        self.socket.close()
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -18,6 +53,7 @@
     def __init__(self, hub):
         self.hub, self.half, self.transport = hub, HalfRead(hub.pool), None
         self.reason = self.detail = None
+        self.spoilt = 0  # messages that could not be used
         self.opened = hub.clock.now()
         self.heard = self.opened  # when it last said something
 
@@ -29,8 +65,9 @@
         try:
             return self.half.room()
         except Exhausted:
-            self.end(Reason.HALF_READ, "no buffer is free")
-            return bytearray(BUFFER)
+            if self.hub.free_buffers(self):
+                return self.half.room()
+            return bytearray(BUFFER)  # it has been ended itself
 
     def buffer_updated(self, count):
         if self.reason:
@@ -40,12 +77,19 @@
         try:
             if self.end_mark is None or self.end_mark in self.half.fresh(count):
                 data = self.half.unread()
-                self.half.keep(data[self.use(data) :])
+                used = self.use(data)
+                if self.reason:
+                    return
+                self.half.keep(data[used:])
+            self.check()
             if self.half.filled > self.most:
                 raise Unreadable(Reason.TOO_LONG, f"{self.half.filled} bytes without an end")
         except Unreadable as wrong:
             self.end(wrong.reason, str(wrong))
 
+    def check(self):
+        """Raises where what is half read can come to nothing."""
+
     def write(self, message):
         """To who reads: a party that leaves too much unread is given up, as it would give us up."""
         if self.reason:
@@ -55,18 +99,23 @@
             self.end(Reason.UNREAD, f"{self.transport.get_write_buffer_size()} bytes")
 
     def end(self, reason, detail=None):
-        """Ends it from our side; the first reason stands."""
+        """Ends it from our side; the first reason stands. What it took up is free at once."""
         if self.reason is None:
             self.reason, self.detail = reason, detail
+            self.release()
             self.transport.abort()
 
+    def release(self):
+        self.half.keep(b"")
+        self.hub.connections.discard(self)
+
     def connection_lost(self, failure):
         if self.reason is None:
             self.reason, self.detail = (Reason.RESET, str(failure)) if failure else (Reason.CLOSED, None)
-        self.half.keep(b"")
-        self.hub.connections.discard(self)
+        self.release()
         lasted = round((self.hub.clock.now() - self.opened) / MICRO, 3)
-        self.hub.log.info("connection_ended", code=self.reason.value, **self.who(), seconds=lasted, detail=self.detail)
+        self.hub.log.info("connection_ended", code=self.reason.value, **self.who(), seconds=lasted,
+                          spoilt=self.spoilt or None, detail=self.detail)
 
 
 class Incoming(Connection):
@@ -77,7 +126,6 @@
     def __init__(self, hub):
         super().__init__(hub)
         self.number, self.use_message = None, self.greet
-        self.asked = False  # for a sign of life, since it was last looked at
 
     @property
     def stranger(self):
@@ -94,67 +142,63 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        self.hub.strangers.add(self)
-        self.hub.make_room(self.hub.strangers)
-        self.hub.clock.at(self.opened + MUTE, self.expire)
+        self.hub.came(self)
+
+    def release(self):
+        super().release()
+        self.hub.strangers.pop(self, None)
+        self.hub.collectors.discard(self)
 
     def connection_lost(self, failure):
         super().connection_lost(failure)
         self.hub.lost(self)
 
-    def expire(self):
-        """A stranger that has said nothing of use for the whole wait goes; one that asks for a sign may stay."""
-        if not self.stranger or self.reason:
-            return
-        if self.hub.clock.now() - self.heard >= MUTE or not self.asked:
-            self.end(Reason.MUTE)
-        else:
-            self.asked = False
-            self.hub.clock.at(self.heard + MUTE, self.expire)
-
     def use(self, data):
         found, used = lines.split(data)
         for line in found:
             if len(line) > MESSAGE:
                 raise Unreadable(Reason.TOO_LONG, f"a message of {len(line)} bytes")
-            kind, values = lines.parse(line)
-            if kind == "hb":
-                self.asked = True
-                self.write(b"hb_ok\r\n")
-            else:
-                self.use_message(lines.Words(kind, values))
+            try:
+                kind, values = lines.parse(line)
+                if kind == "hb":
+                    self.write(b"hb_ok\r\n")
+                else:
+                    self.use_message(lines.Words(kind, values))
+            except Spoilt as wrong:
+                if self.stranger:
+                    raise
+                self.spoilt += 1
+                self.hub.count("spoilt", who=self.who()["who"], code=wrong.reason.value, detail=str(wrong))
             if self.reason:
                 break
         return used
 
+    def check(self):
+        lines.begun(self.half.head(lines.TELLING))
+
     def greet(self, words):
         if words.kind == "telemetry":
             self.hub.reader.telemetry(words)
             self.use_message = self.collect
-            self.hub.strangers.discard(self)
-            self.hub.collectors.add(self)
-            self.hub.make_room(self.hub.collectors)
+            self.hub.collects(self)
         elif words.kind == "attach":
             number, zone, typical, standing = self.hub.reader.attach(words)
             self.number, self.use_message = number, self.stream
-            self.hub.strangers.discard(self)
             self.hub.joined(self, zone, typical, standing)
         else:
             raise Unreadable(Reason.OUT_OF_PLACE, f"{words.kind} before it said what it is")
 
     def collect(self, words):
-        if words.kind == "upstream_stats":
-            self.hub.told(self.hub.reader.upstream_stats(words))
-        elif words.kind == "client_stats":
-            self.hub.told(self.hub.reader.client_stats(words))
-        elif words.kind == "telemetry":
+        if words.kind == "telemetry":
             self.hub.reader.telemetry(words)
+        elif words.kind in ("client_stats", "upstream_stats"):
+            self.hub.told(getattr(self.hub.reader, words.kind)(words))
         else:
-            raise Unreadable(Reason.OUT_OF_PLACE, f"{words.kind} from a collector")
+            raise Spoilt(Reason.OUT_OF_PLACE, f"{words.kind} from a collector")
 
     def stream(self, words):
         if words.kind not in ("done", "client_stats"):
-            raise Unreadable(Reason.OUT_OF_PLACE, f"{words.kind} on a stream")
+            raise Spoilt(Reason.OUT_OF_PLACE, f"{words.kind} on a stream")
         if self.hub.reader.proxy(words) != self.number:
-            raise Unreadable(Reason.OUT_OF_PLACE, f"{words.kind} for another proxy")
+            raise Spoilt(Reason.OUT_OF_PLACE, f"{words.kind} for another proxy")
         self.hub.told(getattr(self.hub.reader, words.kind)(words))
--- a/cranecleat/protocol/limits.py
+++ b/cranecleat/protocol/limits.py
@@ -9,15 +9,25 @@
 HEAD = 1 << 14  # bytes of an answer's status line and headers, of a chunk's size line, of trailers
 LIST = 1 << 22  # bytes of one entry of the watch: a list of some ten thousand backends
 
+# What reports can say
+COVERED = 120  # cycles that one may cover at the most: far more than any lateness of reports
+LATENESS = 4  # of the longest time limit: no answer takes longer, as its client has long given up
+SURGE = 30  # times what all joined proxies call typical: no burst, no repeats and no dead neighbours come to that
+LOADED = 4  # of a backend's CPU: a report is noisy, but no machine is that busy
+
 # Memory
 BUFFER = 1 << 14  # bytes of a pooled buffer: many reports, or a joining with room to spare
 HALF_READ = 1 / 16  # of the memory limit may hold half-read messages
 UNREAD = 128 << 10  # bytes that a party may leave unread, as PROTOCOL states
 
 # Who dials in
-MUTE = 10 * MICRO  # for the first useful message: proxies stall for seconds, strangers say nothing for ever
+MUTE = 2 * MICRO  # for a joining, from the connection on: time for one in pieces, and a second less than it may take
+SUMMED = 5 * MICRO  # spoilt messages are logged in sums this often
 SHARE = 1 / 4  # of the descriptors may belong to strangers, and as many to collectors
-BACKLOG = 256  # connections that may wait to be taken: all proxies at once after another coordinator's death
+SPARE = 1 / 8  # of the descriptors is kept free: for what is being closed, and for discovery
+BACKLOG = 1024  # connections that may wait to be taken: all proxies after another coordinator's death, and strangers
+AT_ONCE = 16  # connections taken in a turn of the loop, fewer than are spared
+PAUSE = MICRO // 20  # without a descriptor, nor a stranger that could give one
 
 # Discovery
 PULSE = 2 * MICRO  # a watch brings an empty line this often
--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -2,14 +2,16 @@
 
 import re
 
-from cranecleat.door import MILLI
-from cranecleat.protocol.limits import LARGEST, MESSAGE, PARTS
-from cranecleat.protocol.reasons import Reason, Unreadable
+from cranecleat.door import MICRO, MILLI
+from cranecleat.protocol.limits import COVERED, LARGEST, LATENESS, LOADED, MESSAGE, PARTS, SURGE
+from cranecleat.protocol.reasons import Reason, Spoilt, Unreadable
 
 END = b"\r\n"
 FIGURE = re.compile(r"\d{1,18}(\.\d{0,18})?([eE][+-]?\d{1,2})?", re.ASCII)
 WHOLE = re.compile(r"\d{1,15}", re.ASCII)
-KIND = re.compile(r"[a-z_]{1,40}")
+KINDS = ("hb", "attach", "telemetry", "done", "client_stats", "upstream_stats")
+TELLING = 1 + max(map(len, KINDS))  # bytes that tell what a message begins as
+START = re.compile(rb"(%s)( |$)" % b"|".join(kind.encode() for kind in KINDS))
 BUSY, SERVED = ("utilization", "util"), ("throughput", "qps")  # a load report's words, as met and as documented
 
 
@@ -22,24 +24,33 @@
 
 
 def parse(line):
-    """One line as its kind and its words."""
+    """One line as its kind and its words. What begins as a message is one, and spoilt by itself where it cannot be
+    used; anything else shows that the data is no longer messages."""
+    if line and not START.match(line):
+        raise Unreadable(Reason.UNREADABLE, f"no kind of message: {line[:40]!r}")
     try:
         kind, *words = line.decode().split(" ")
     except UnicodeDecodeError:
-        raise Unreadable(Reason.UNREADABLE, "not UTF-8") from None
-    if not KIND.fullmatch(kind):
-        raise Unreadable(Reason.UNREADABLE, f"no kind of message: {kind[:40]!r}")
+        raise Spoilt(Reason.UNREADABLE, "not UTF-8") from None
+    if not kind:
+        raise Spoilt(Reason.UNREADABLE, "an empty message")
     values = {}
     for word in words:
         name, equals, value = word.partition("=")
         if not (name and equals):
-            raise Unreadable(Reason.UNREADABLE, f"{kind}: {word[:40]!r} is not name=value")
+            raise Spoilt(Reason.UNREADABLE, f"{kind}: {word[:40]!r} is not name=value")
         if name in values:
-            raise Unreadable(Reason.UNREADABLE, f"{kind}: {name[:40]!r} stands twice")
+            raise Spoilt(Reason.UNREADABLE, f"{kind}: {name[:40]!r} stands twice")
         values[name] = value
     return kind, values
 
 
+def begun(rest):
+    """What has come of the next message must be able to become one, or its end might be waited for in vain."""
+    if rest and not START.match(rest) and not any(kind.encode().startswith(rest) for kind in KINDS):
+        raise Unreadable(Reason.UNREADABLE, f"no kind of message: {rest[:40]!r}")
+
+
 class Words:
     """The words of one message, read by name; each reader says what is wrong with its word."""
 
@@ -48,29 +59,36 @@
 
     def text(self, name):
         if name not in self.values:
-            raise Unreadable(Reason.UNREADABLE, f"{self.kind}: {name!r} is missing")
+            raise Spoilt(Reason.UNREADABLE, f"{self.kind}: {name!r} is missing")
         return self.values[name]
 
-    def figure(self, name, form=FIGURE):
+    def bad(self, name, value=None):
+        return Spoilt(Reason.BAD_FIGURE, f"{self.kind}: {name}={(self.text(name) if value is None else value)[:40]}")
+
+    def figure(self, name, form=FIGURE, most=LARGEST):
         text = self.text(name)
-        if not form.fullmatch(text) or float(text) > LARGEST:
-            raise Unreadable(Reason.BAD_FIGURE, f"{self.kind}: {name}={text[:40]}")
+        if not form.fullmatch(text) or float(text) > most:
+            raise self.bad(name)
         return float(text)
 
-    def whole(self, name):
-        return int(self.figure(name, WHOLE))
+    def whole(self, name, most=LARGEST):
+        return int(self.figure(name, WHOLE, most))
 
-    def time(self, name):
-        return round(self.figure(name) * MILLI)
+    def time(self, name, least=0, most=LARGEST):
+        """In microseconds, as `least` and `most` are."""
+        time = round(self.figure(name) * MILLI)
+        if not least <= time <= most:
+            raise self.bad(name)
+        return time
 
     def yes(self, name):
         if self.text(name) not in ("0", "1"):
-            raise Unreadable(Reason.BAD_FIGURE, f"{self.kind}: {name}={self.text(name)[:40]}")
+            raise self.bad(name)
         return self.text(name) == "1"
 
     def among(self, name, known):
         if self.text(name) not in known:
-            raise Unreadable(Reason.UNKNOWN_NAME, f"{self.kind}: {name}={self.text(name)[:40]}")
+            raise Spoilt(Reason.UNKNOWN_NAME, f"{self.kind}: {name}={self.text(name)[:40]}")
         return known[self.text(name)]
 
     def load(self, name):
@@ -78,24 +96,29 @@
         report = {}
         for pair in filter(None, self.values.get(name, "").split(",")):
             key, colon, value = pair.rpartition(":")
-            if not colon or not FIGURE.fullmatch(value):
-                raise Unreadable(Reason.BAD_FIGURE, f"{self.kind}: {name}={pair[:40]}")
+            if not colon or not FIGURE.fullmatch(value) or float(value) > LARGEST:
+                raise self.bad(name, pair)
             report[key] = float(value)
         busy, served = (next((report[n] for n in words if n in report), None) for words in (BUSY, SERVED))
+        if busy is not None and busy > LOADED:
+            raise self.bad(name)
         return None if busy is None or served is None else (busy, served)
 
 
 class Reader:
-    """Messages as calls of the planner, for one deployment."""
+    """Messages as calls of the planner, for one deployment. A figure can be readable and still absurd: what no
+    deployment could have met is spoilt as well, as one such report would move what was learned for a long time."""
 
-    def __init__(self, zones, routes, proxies, backends):
+    def __init__(self, zones, routes, proxies, backends, cycle, patience):
         self.zones, self.routes = zones, routes  # name -> index
         self.proxies, self.backends = proxies, backends  # how many there are; the names that were listed
+        self.longest, self.patience = cycle * COVERED, patience * LATENESS  # interval and answer
+        self.typical = 0.0  # calls a second of all that are joined, as they said
 
     def proxy(self, words):
         number = words.whole("node")
         if number >= self.proxies:
-            raise Unreadable(Reason.UNKNOWN_NAME, f"{words.kind}: node={number}")
+            raise Spoilt(Reason.UNKNOWN_NAME, f"{words.kind}: node={number}")
         return number
 
     def telemetry(self, words):
@@ -109,15 +132,22 @@
         return ("applied", self.proxy(words), words.whole("nonce"))
 
     def client_stats(self, words):
-        words.whole("errors")
-        return ("came", self.proxy(words), words.among("route", self.routes), words.whole("total"),
-                words.time("interval"))
+        words.whole("errors")  # may be of calls that came earlier
+        return ("came", self.proxy(words), words.among("route", self.routes), *self.total(words))
+
+    def total(self, words):
+        """How many in how long. All calls may come to one proxy and again, but no more than that."""
+        total, covers = words.whole("total"), words.time("interval", 1, self.longest)
+        if total > SURGE * (1.0 + self.typical * max(covers / MICRO, 1.0)):
+            raise words.bad("total")
+        return total, covers
 
     def upstream_stats(self, words):
         """None for a backend that was never listed: it would only take up memory."""
         zone, backend = words.among("locality", self.zones), self.backends.index.get(words.text("endpoint"))
-        call = ("met", backend, zone, words.whole("total"), words.whole("errors"), words.time("rtt"),
-                words.time("interval"), words.load("metrics"))
+        total, covers = self.total(words)
+        call = ("met", backend, zone, total, words.whole("errors", total), words.time("rtt", 0, self.patience), covers,
+                words.load("metrics"))
         return None if backend is None else call
 
 
--- a/cranecleat/protocol/reasons.py
+++ b/cranecleat/protocol/reasons.py
@@ -8,7 +8,7 @@
     RESET = "reset"  # it broke
     REPLACED = "replaced"  # the same proxy has a newer stream
     STOPPING = "stopping"  # the coordinator ends
-    MUTE = "mute"  # connected and said nothing of use in time
+    MUTE = "mute"  # connected and did not join in time
     CROWDED = "crowded"  # connections without a name took up their share of the descriptors
     SILENT = "silent"  # a watch without its pulse
     UNREAD = "unread"  # left too much unread
@@ -29,3 +29,7 @@
     def __init__(self, reason, text):
         super().__init__(text)
         self.reason = reason
+
+
+class Spoilt(Unreadable):
+    """One message that cannot be used; what comes after it on the same connection can."""
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -7,7 +7,7 @@
 from cranecleat.memory.streams import Streams
 from cranecleat.policy import Planner
 from cranecleat.protocol.connections import Incoming
-from cranecleat.protocol.limits import BUFFER, HALF_READ, SHARE
+from cranecleat.protocol.limits import BUFFER, HALF_READ, MUTE, SHARE, SPARE, SUMMED
 from cranecleat.protocol.lines import Reader
 from cranecleat.protocol.reasons import Reason
 from cranecleat.protocol.registry import Registry
@@ -22,9 +22,11 @@
         self.station, self.clock, self.log, self.failed = station, clock, log, failed
         self.names, self.kinds = Names(), station.kinds
         routes = {name: index for index, name in enumerate(station.routes)}
-        self.reader = Reader(station.zones, routes, station.proxies, self.names)
+        self.reader = Reader(station.zones, routes, station.proxies, self.names, station.bootstrap.cycle,
+                             station.patience)
         self.pool = Pool(BUFFER, max(1, int(station.memory * HALF_READ) // BUFFER))
-        self.connections, self.strangers, self.collectors, self.stopping = set(), set(), set(), False
+        self.connections, self.strangers, self.collectors, self.stopping = set(), {}, set(), False
+        self.share, self.sums, self.expiring = max(1, int(station.descriptors * SHARE)), {}, False
         self.registry = Registry(self, station.discovery, station.known[0], station.seed)
         self.planner = Planner(station.bootstrap, station.seed)
         self.streams = Streams(self.names, station.routes, self.wake, self.watch, self.says)
@@ -54,25 +56,72 @@
         self.told(("listed", scope, [(self.names(name), *rest) for name, *rest in entries]))
 
     def joined(self, connection, zone, typical, standing):
-        old, brought = self.streams.join(connection.number, connection, standing)
+        self.strangers.pop(connection, None)
+        old, brought = self.streams.join(connection.number, connection, typical, standing)
+        self.reader.typical = self.streams.typical()
         if old:
             old.connection.end(Reason.REPLACED)
         self.log.info("joined", proxy=connection.number, zone=zone, cold=standing, brought=brought)
         self.told(("joined", connection.number, zone, typical, standing, brought))
 
     def lost(self, connection):
-        self.strangers.discard(connection)
-        self.collectors.discard(connection)
         if connection.number is not None and self.streams.leave(connection.number, connection):
+            self.reader.typical = self.streams.typical()
             self.told(("left", connection.number))
 
-    def make_room(self, group):
-        """Those that need no number may come in hundreds, or be left open by a cut: the ones longest silent go,
-        so that proxies keep their place."""
-        while len(group) > max(1, int(self.station.descriptors * SHARE)):
-            longest = min(group, key=lambda connection: connection.heard)
-            group.discard(longest)
-            longest.end(Reason.CROWDED)
+    # Room for those that need no number: they may come in hundreds, or be left open by a cut
+
+    def came(self, stranger):
+        """Strangers stand in the order in which they came, and the first is the next to go; one that has just come
+        has its chance in any case."""
+        self.strangers[stranger] = None
+        while len(self.strangers) > self.share or (
+                len(self.strangers) > 1 and len(self.connections) > self.station.descriptors * (1 - SPARE)):
+            self.drop_stranger(Reason.CROWDED)
+        if not self.expiring:
+            self.expiring = True
+            self.clock.at(stranger.opened + MUTE, self.expire)
+
+    def drop_stranger(self, reason, detail=None):
+        first = next(iter(self.strangers), None)
+        if first:
+            first.end(reason, detail)
+        return first is not None
+
+    def expire(self):
+        """Whoever has not joined in time goes, whatever else it said: one wait for all of them."""
+        now = self.clock.now()
+        while (first := next(iter(self.strangers), None)) and first.opened + MUTE <= now:
+            first.end(Reason.MUTE)
+        self.expiring = first is not None
+        if first:
+            self.clock.at(first.opened + MUTE, self.expire)
+
+    def collects(self, connection):
+        self.strangers.pop(connection, None)
+        self.collectors.add(connection)
+        while len(self.collectors) > self.share:
+            min(self.collectors, key=lambda one: one.heard).end(Reason.CROWDED)
+
+    def free_buffers(self, asking):
+        """Where none is left for `asking`, the oldest stranger's are taken, else those of who holds the most: it
+        alone has too much half read. Returns whether that was somebody else."""
+        holding = [one for one in self.strangers if one.half.buffers]
+        given = holding[0] if holding else max((*self.connections, asking), key=lambda one: len(one.half.buffers))
+        given.end(Reason.HALF_READ, "no buffer is free")
+        return given is not asking
+
+    def count(self, event, detail=None, **what):
+        """What may come again and again is told in sums."""
+        if not self.sums:
+            self.clock.at(self.clock.now() + SUMMED, self.sum_up)
+        key = event, *what.items()
+        self.sums[key] = self.sums.get(key, (0,))[0] + 1, detail
+
+    def sum_up(self):
+        for (event, *what), (count, detail) in self.sums.items():
+            self.log.warning(event, **dict(what), count=count, detail=detail)
+        self.sums.clear()
 
     def follow(self, station):
         """A new configuration: discovery moves, all else stays as it was at the start."""
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -8,7 +8,7 @@
 import time
 
 from cranecleat.door import Malformed
-from cranecleat.protocol.limits import BACKLOG
+from cranecleat.protocol.connections import Listener
 from cranecleat.service.clock import Clock
 from cranecleat.service.coordinator import Coordinator
 from cranecleat.service.logs import open_log
@@ -51,14 +51,14 @@
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     coordinator.start()
     try:
-        server = await loop.create_server(coordinator.accept, *station.listen, backlog=BACKLOG)
+        listener = Listener(coordinator, station.listen)
     except OSError as failure:
         raise Malformed(f"cannot listen on {where}: {failure.strerror}") from None
     coordinator.registry.dial()
     gc.freeze()
     log.info("serving", listen=where, backends=len(coordinator.names.ids))
     code = await ended
-    server.close()
+    listener.close()
     coordinator.stop()
     await asyncio.sleep(0)  # lets the connections log their ends
     log.info("stopped", code=code, longest_round_us=coordinator.longest)
--- a/cranecleat/service/start.py
+++ b/cranecleat/service/start.py
@@ -24,6 +24,7 @@
     zones: dict[str, int]
     kinds: dict[str, int]
     proxies: int
+    patience: int  # the longest time limit of a call
     bootstrap: Bootstrap
     known: tuple[int, list]  # the list as last had: its version and entries
 
@@ -72,7 +73,8 @@
             name=str(told["name"]), listen=address(told["listen"]), discovery=address(told["discovery"]),
             seed=str(told["seed"]), memory=int(limits["memory_mb"] * 2**20), descriptors=int(limits["sockets"]),
             round=micros(info["round"]), routes=tuple(route["name"] for route in info["requestClasses"]),
-            zones=zones, kinds=kinds, proxies=int(info["specifics"]["proxyCount"]), bootstrap=boot,
+            zones=zones, kinds=kinds, proxies=int(info["specifics"]["proxyCount"]),
+            patience=micros(max(route["giveUp"] for route in info["requestClasses"])), bootstrap=boot,
             known=(version, entries))
     except KeyError as missing:
         raise Malformed(f"{path}: {missing.args[0]!r} is missing") from None
--- a/tests/scene.py
+++ b/tests/scene.py
@@ -29,8 +29,8 @@
 # A start message as the bench and the configuration spell it.
 INFO = {
     "groupSize": 1, "round": 0.002, "localities": ["a", "b"], "skus": ["big", "small"], "membershipMode": "push",
-    "requestClasses": [{"name": "read", "credit": 2.0, "goalTime": 1.0, "effect": "idempotent"},
-                       {"name": "find", "credit": 1.0, "goalTime": 0.5, "onlyKinds": [0], "onlyZones": ["b"]}],
+    "requestClasses": [{"name": "read", "credit": 2.0, "goalTime": 1.0, "giveUp": 5.0},
+                       {"name": "find", "credit": 1.0, "goalTime": 0.5, "giveUp": 2.0, "onlyKinds": [0], "onlyZones": ["b"]}],
     "rules": {"askWithin": 10.0, "cold": 17.0, "coldFrom": 0.2, "stopSendingWithin": 3.0},
     "specifics": {"admission": "fraction", "cycle": 1.0, "backlog": 2000.0, "perMessage": 4.0, "egressPerS": 2000.0,
                   "proxyCount": 8},
@@ -104,7 +104,7 @@
         self.text.append(f"# {text}")
 
     def join(self, proxy, standing=True):
-        _, brought = self.streams.join(proxy, object(), standing)
+        _, brought = self.streams.join(proxy, object(), 20.0, standing)
         self.say(f"proxy {proxy} joins{'' if standing else ' with ordered tables'}")
         return brought
 
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -31,7 +31,9 @@
 def reader():
     backends = Names()
     backends("s-1")
-    return lines.Reader(ZONES, {"read": 0, "find": 1}, 8, backends)
+    read = lines.Reader(ZONES, {"read": 0, "find": 1}, 8, backends, 1_000_000, 5_000_000)
+    read.typical = 20.0
+    return read
 
 
 def understood(line):
@@ -70,7 +72,7 @@
 
 
 def test_what_is_no_line_is_told_apart():
-    bad = [b"", b" ", b"\xff\xfe", b"hb=1", b"done node=1 node=1 nonce=1 latency=1", b"done node=1 nonce",
+    bad = [b"", b" ", b"\xff\xfe", b"hb=1", b"owner set=1", b"done\xff node=1", b"done \xff=1", b"done node=1 node=1 nonce=1 latency=1", b"done node=1 nonce",
            b"done  node=1",
            b"done nonce=1 latency=1", b"done node=1 nonce=1", b"done node=8 nonce=1 latency=1",
            b"done latency=1 nonce=1 node=-1", b"done latency=1 nonce=1 node=1.5", b"done latency=1 node=1 nonce=nan",
@@ -80,15 +82,29 @@
            b"client_stats node=1 route=none total=1 errors=0 interval=1",
            b"client_stats node=1 route=read total=-1 errors=0 interval=1",
            b"upstream_stats locality=a endpoint=s-1 total=1 errors=0 rtt=1 interval=1 metrics=util",
-           b"upstream_stats locality=a endpoint=s-9 total=x errors=0 rtt=1 interval=1", b"telemetry locality="]
+           b"upstream_stats locality=a endpoint=s-9 total=x errors=0 rtt=1 interval=1", b"telemetry locality=",
+           *(b"upstream_stats locality=a endpoint=s-1 " + absurd for absurd in (
+               b"total=2 errors=3 rtt=1 interval=1000", b"total=2 errors=0 rtt=1 interval=0",
+               b"total=2 errors=0 rtt=1 interval=3600000", b"total=2 errors=0 rtt=60000 interval=1000",
+               b"total=90000 errors=0 rtt=1 interval=1000",
+               b"total=2 errors=0 rtt=1 interval=1000 metrics=util:90,qps:3")),
+           b"client_stats node=1 route=read total=90000 errors=0 interval=1000"]
     text = []
     for line in bad:
         with pytest.raises(Unreadable) as wrong:
             understood(line)
-        text.append(f"{wrong.value.reason.value:13} {wrong.value}")
+        text.append(f"{type(wrong.value).__name__:10} {wrong.value.reason.value:13} {wrong.value}")
     same("lines_malformed", text)
 
 
+def test_what_has_come_of_a_message_shows_whether_it_can_become_one():
+    for start in (b"", b"u", b"upstream_stat", b"upstream_stats", b"hb", b"hb ", b"done nod"):
+        lines.begun(start)
+    for start in (b"\x93", b"GET", b"hbx", b"upstream_statz", b" hb", b"done="):
+        with pytest.raises(Unreadable):
+            lines.begun(start)
+
+
 def test_answers_are_the_same_under_every_cut():
     pool = Pool(16, 40)
     for stream, wanted in ((CHUNKED, [BODY[:-1], b"", b""]), (FIXED, [BODY[:-1]])):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -6,9 +6,10 @@
 import signal
 import socket
 import struct
+from collections import Counter
 
 from cranecleat.protocol.connections import Incoming
-from cranecleat.protocol.limits import LAG, MUTE, PROMPT, QUIET, UNREAD
+from cranecleat.protocol.limits import LAG, MUTE, PROMPT, QUIET, SUMMED, UNREAD
 from cranecleat.protocol.reasons import Reason
 from cranecleat.protocol.registry import Watch
 from cranecleat.service.clock import Clock
@@ -66,17 +67,21 @@
     with Service(tmp_path).start() as service:
         proxy, text = service.dial(ATTACH), []
         service.read(proxy, BINDING)
-        for bad in (["\u00e9\x00"], ["hb x"], ["done node=3 nonce=1 latency=1"],
-                    ["attach node=99 locality=a w=1 cold=1"],
-                    ["attach node=1 locality=zz w=1 cold=1"], ["telemetry locality=a", "owner"], ["x" * 20_000],
-                    ["attach node=1 locality=a w=1 cold=1", "done node=2 nonce=1 latency=1"],
-                    ["telemetry locality=a", "client_stats node=1 route=read total=1e9 errors=0 interval=nan"]):
+        for bad in (["\u00e9\x00"], ["hb x"], ["done node=3 nonce=1 latency=1"], ["GET / HTTP/1.1", "Host: x"],
+                    ["attach node=99 locality=a w=1 cold=1"], ["assign for=read rows=s-1:9"],
+                    ["attach node=1 locality=zz w=1 cold=1"], ["telemetry locality=a", "owner"],
+                    ["done " + "x" * 20_000]):
             service.read(service.dial(*bad), None)
             text.append(service.log("connection_ended"))
+        for start in ("SSH-2.0", "telemetry locality=a\r\nhb\r\n\x16\x03"):
+            half = service.dial()
+            half.sendall(start.encode())
+            service.read(half, None)
+            text.append(service.log("connection_ended"))
         endless = service.dial("telemetry locality=a", "hb")
         service.read(endless, rb"hb_ok")
         try:
-            endless.sendall(b"y" * (2 << 20))
+            endless.sendall(b"done " + b"y" * (2 << 20))
         except OSError:
             pass
         service.read(endless, None)
@@ -86,6 +91,31 @@
     same("service_bad_input", text)
 
 
+GOOD = (b"done node=3 nonce=1 latency=9", b"client_stats node=3 route=read total=9 errors=0 interval=1000",
+        b"upstream_stats locality=a endpoint=s-1 total=9 errors=0 rtt=50 interval=1000")
+SPOILT = (b"", b"done node=3 nonce=1", b"done node=3 nonce=s-zz latency=9", b"done node=3 node=3 nonce=1 latency=9",
+          b"done node=4 nonce=1 latency=9", b"client_stats node=3 route=-3 total=9 errors=0 interval=1000",
+          b"client_stats node=3 route=read total=1e+30 errors=0 interval=1000", b"client_stats node=[1] \xff",
+          b"client_stats node=3 route=read total=9 errors=0 interval=0", b"attach node=3 locality=a w=1 cold=1",
+          b"upstream_stats locality=a endpoint=s-1 total=9 errors=10 rtt=50 interval=1000",
+          b"upstream_stats locality=a endpoint= total=9 errors=0 rtt=nan interval=1000")
+
+
+def test_a_spoilt_message_is_dropped_alone_and_the_good_ones_around_it_are_used(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    hub.start()
+    stream, collector, told = hub.accept(), hub.accept(), []
+    hub.planner.round = lambda now, calls, out: told.extend(calls)
+    for one, first in ((stream, ATTACH), (collector, "telemetry locality=a")):
+        one.connection_made(Still())
+        say(one, first.encode() + b"\r\n")
+        say(one, b"".join(line + b"\r\n" for spoilt in SPOILT for line in (*GOOD, spoilt)))
+        assert one.reason is None
+    still.pass_to(SUMMED / 1e6)
+    text = [f"{count} x {call}" for call, count in Counter(call for call in told if call[0] != "woke").items()]
+    same("service_spoilt", text + [f"{event} {fields}" for event, fields in still.lines if event == "spoilt"])
+
+
 def test_a_list_that_cannot_be_read_is_dialled_anew_and_the_last_one_stands(tmp_path):
     with Service(tmp_path).start() as service:
         text = []
@@ -143,11 +173,14 @@
 
 
 def test_strangers_in_hundreds_leave_proxies_and_collectors_their_place(tmp_path):
-    limits = {"cores": 1.0, "memory_mb": 192, "sockets": 40}
-    with Service(tmp_path, limits=limits).start() as service:
+    limits = {"cores": 1.0, "memory_mb": 32, "sockets": 40}
+    few = {"preexec_fn": lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (70, 70))}
+    with Service(tmp_path, limits=limits).start(**few) as service:
         proxy = service.dial(ATTACH)
         service.read(proxy, BINDING)
         strangers = [service.dial() for _ in range(300)]
+        for stranger in strangers:
+            stranger.sendall(b"attach nod") if stranger.fileno() % 2 else None
         for stranger in strangers[:290]:
             service.read(stranger, None)
         assert "crowded" in service.log("connection_ended")
@@ -156,18 +189,24 @@
             service.read(collector, None)
         proxy.sendall(b"hb\r\n")
         assert service.read(proxy, b"hb_ok") and service.answers()
+        for stranger in strangers[290:]:
+            service.read(stranger, None)
 
 
-def test_without_descriptors_it_neither_spins_nor_ends(tmp_path):
+def test_without_descriptors_strangers_give_theirs_and_then_it_neither_spins_nor_ends(tmp_path):
     few = {"preexec_fn": lambda: resource.setrlimit(resource.RLIMIT_NOFILE, (24, 24))}
     with Service(tmp_path).start(**few) as service:
         proxy = service.dial(ATTACH)
         service.read(proxy, BINDING)
         crowd = [service.dial() for _ in range(40)]
-        assert "Too many open files" in service.log("internal")
+        service.read(crowd[0], None)
+        assert "Too many open files" in service.log("code=crowded")
+        for collector in [service.dial("telemetry locality=a") for _ in range(24)]:
+            service.open.append(collector)
+        assert "Too many open files" in service.log("event=no_descriptor")
         proxy.sendall(b"hb\r\n")
         service.read(proxy, b"hb_ok")
-        for one in crowd:
+        for one in service.open[3:]:
             one.close()
         assert service.answers()
 
@@ -233,6 +272,9 @@
     def abort(self):
         self.ended = True
 
+    def warning(self, event, **fields):
+        self.lines.append((event, fields))
+
     def write(self, message):
         self.unsent += len(message)
 
@@ -263,20 +305,45 @@
     connection.buffer_updated(len(text))
 
 
-def test_strangers_that_say_nothing_go_and_those_that_ask_for_a_sign_stay(tmp_path):
+def test_who_has_not_joined_in_time_goes_whatever_it_said_and_one_timer_is_kept_for_all(tmp_path):
     still, hub = quiet_hub(tmp_path)
-    mute, asking, other = hub.accept(), hub.accept(), Still()
+    for _ in range(50):  # those that join, or go, leave nothing behind
+        brief = hub.accept()
+        brief.connection_made(Still())
+        brief.connection_lost(None)
+    mute, other = hub.accept(), Still()
     mute.connection_made(still)
-    asking.connection_made(other)
     say(mute, b"attach nod")
     still.pass_to(MUTE / 2e6)
-    say(asking, b"hb\r\n")
+    asking, joining = hub.accept(), hub.accept()
+    asking.connection_made(other)
+    joining.connection_made(Still())
+    for piece in (b"hb\r\natt", b"ach node=3 locality=a w=", b"1 cold=1\r\n"):
+        still.pass_to(still.seconds + MUTE / 1e7)
+        say(asking, b"hb\r\n")
+        say(joining, piece)
     still.pass_to(MUTE / 1e6)
-    assert mute.reason is Reason.MUTE and still.ended and hub.pool.out == 1 and not other.ended
-    mute.connection_lost(None)
-    assert hub.pool.out == 0
+    assert mute.reason is Reason.MUTE and still.ended and hub.pool.out == 0 and not other.ended
     still.pass_to(MUTE * 3 / 2e6)
-    assert asking.reason is Reason.MUTE
+    assert asking.reason is Reason.MUTE and joining.reason is None and not hub.strangers
+    assert len([act for _, _, act in hub.clock.due if act == hub.expire]) == 0 and hub.connections == {joining}
+
+
+def test_buffers_run_out_for_strangers_first_then_for_who_holds_the_most(tmp_path):
+    _, hub = quiet_hub(tmp_path)
+    hub.pool.most = 4
+    strangers, heavy, light = [hub.accept() for _ in range(2)], hub.accept(), hub.accept()
+    for one in (heavy, light, *strangers):
+        one.connection_made(Still())
+    say(heavy, b"telemetry locality=a\r\ndone ")
+    say(light, b"telemetry locality=a\r\n")
+    for stranger in strangers:
+        say(stranger, b"attach nod")
+    for _ in range(4):
+        say(heavy, b"x" * len(heavy.get_buffer(-1)))
+    assert [one.reason for one in strangers] == [Reason.HALF_READ] * 2 and hub.pool.out == 4
+    say(light, b"done ")
+    assert heavy.reason is Reason.HALF_READ and light.reason is None and hub.pool.out == 1
 
 
 def test_a_watch_that_never_answers_is_given_up_soon_and_one_that_did_when_its_pulse_is_missed(tmp_path):
