What has long gone is forgotten; comers alone hear withdrawals again; crowds get weights

A probe of the planner each turn showed: every joining had every withdrawal ever made said again (joined, say) and charged to all proxies (bar, 'named'), bindings waited for that; lines of dead backends never left the tables (push, order 3: 30 to 96 lines in 170 s); a withdrawal to a proxy bound for some routes was not counted (bar, 'not p.bound'); with 183 proxies the heads alone filled the parts of weights and new lines (fits), the queue stood at 4550 with msgs=0 and owed=1 for 20 s and lacking=true kept bindings back. Ruled out: memory (13.6 to 14.8 MB), descriptors (level).

One bad entry of a list costs itself only. Four tests fail without the change (seen).

--- a/cranecleat/door.py
+++ b/cranecleat/door.py
@@ -70,13 +70,21 @@
 
 
 class Names:
-    """Backend ids and small indices, for one instance."""
+    """Backend ids and small indices, for one instance. An index is used again once its backend is forgotten."""
 
     def __init__(self):
-        self.ids, self.index = [], {}
+        self.ids, self.index, self.free = [], {}, []
 
     def __call__(self, name):
         if name not in self.index:
-            self.index[name] = len(self.ids)
-            self.ids.append(name)
+            if not self.free:
+                self.free.append(len(self.ids))
+                self.ids.append(None)
+            self.index[name] = self.free.pop()
+            self.ids[self.index[name]] = name
         return self.index[name]
+
+    def forget(self, index):
+        del self.index[self.ids[index]]
+        self.ids[index] = None
+        self.free.append(index)
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -41,9 +41,9 @@
         One that holds ordered tables may have them from another coordinator, or from an earlier life of this
         one: it may shut out anything."""
         old, ever = self.joined.get(proxy), self.ever.setdefault(proxy, set())
-        brought = set(ever) if standing else set(range(len(self.names.ids)))
+        brought = set(ever) if standing else set(self.names.index.values())
         self.joined[proxy] = Stream(connection, typical, ever, brought)
-        return old, len(brought)
+        return old, len(brought - self.out)  # what is withdrawn here is not let back
 
     def leave(self, proxy, connection):
         """Whether that was the proxy's stream: the end of one that was replaced means nothing."""
@@ -72,6 +72,13 @@
         (self.out.add if out else self.out.discard)(backend)
         self.moved.add(backend)
 
+    def forget(self, backend):
+        """No table names it and no proxy is told of it any more: its name and its index are free."""
+        self.out.discard(backend)
+        for told in (*self.ever.values(), *(held for s in self.joined.values() for held in (s.shut, s.brought))):
+            told.discard(backend)
+        self.names.forget(backend)
+
     def admit(self, table, routes, level, tries):
         for route in routes:
             self.levels[table, route] = level, tries
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -3,40 +3,33 @@
 Called as `planner = Planner(bootstrap, seed)`, one an instance, then `planner.round(now, arrivals, out)`
 once a batch: `arrivals` are calls in order, each a verb (a method under "What comes in") and its values;
 decisions go straight into `out`. `Bootstrap` and `Writer` stand in cranecleat/interface.py.
-Times are whole microseconds, ids small indices, rates calls a second. The why of it all: docs/design.md.
-"""
+Times are whole microseconds, ids small indices, rates calls a second. The why of it all: docs/design.md."""
 
 import zlib
 from heapq import heappop, heappush
 
 TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
 TARGET = 0.65  # assumed load where none is reported
-GROWTH = 1.1  # of the fleet's capacity, for each recompute with clean answers
-ENOUGH = 0.25  # capacity of which less than this is used is not grown further
-FLOOR = 0.1  # least multiplier, in even shares
-CHANGED = 0.1  # a line goes out when it has moved by more than this part
-FINE = 0.03  # and a level by more than this, which is also what the capped loop may leave open
-ITERATIONS = 10  # of the multiplier loop
+GROWTH, ENOUGH = 1.1, 0.25  # of the fleet's capacity, a clean recompute, where more than this part is used
+FLOOR, ITERATIONS = 0.1, 10  # least multiplier, in even shares; rounds of the multiplier loop
+CHANGED, FINE = 0.1, 0.03  # parts by which a line, and a level (or the capped loop), may be off
 SLACK = 1.02  # backends are filled to a common level this much above the least that holds the demand
 PRECEDENCE = 8.0  # weight of a route over the next less important one
 SLOW = 0.55  # the fleet is slow past this part of the tightest SLO time
 ENOUGH_TRIES = 4  # under which losses of a backend are chance
 DRAIN = 0.85  # of the served rate: the least that a slow fleet is given, so that queues shorten
-PATIENCE = 2  # cycles, and a spell, from one drop of the fleet's capacity to the next
 AGAIN = 0.4  # part of the refused calls that come again
-SETTLED = 1.5  # cycles, and a spell, after which a proxy that has joined is in the reports in full
+PATIENCE, SETTLED = 2, 1.5  # cycles, and a spell: from one drop to the next; until who joined is reported
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
-SILENT = 8  # answers that must be missing before a backend counts as one that never answers
-QUIET = 3  # spells of reports without an answer from it that go with that
+SILENT, QUIET = 8, 3  # answers missing, and spells of reports without one, from who never answers
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
-IDLE = 0.02  # a reported load under this says nothing of the capacity
-FULL = 1e6  # calls a second at each proxy: no limit
+IDLE, FULL = 0.02, 1e6  # a reported load that says nothing of the capacity; calls a second that limit nothing
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
-# Parts of the backlog: cheap orders, weights, bindings, levels, lines of what had none, withdrawals.
-AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, OUT = 0.1, 0.3, 0.33, 0.45, 0.5, 0.98
+# Parts of the backlog: cheap orders, weights, bindings, levels, new lines, these in a crowd, withdrawals.
+AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, CROWD, OUT = 0.1, 0.3, 0.33, 0.45, 0.5, 0.95, 0.98
 AT_RISK, REFUGE = 0.2, 12  # part of the known backends gone, backends in the table for proxies that wait
-GATHER = 0.12  # of the grace of drains: withdrawals may wait this long for others
+GATHER, LATELY, REST = 0.12, 5, 20  # graces: to gather withdrawals; said to who comes; what went is forgotten
 
 
 def waterfill(demands, weights, paths, capacity):
@@ -65,16 +58,14 @@
 class Backend:
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
-        self.out, self.told = False, 0  # withdrawn from joined proxies; since when it should be from all
+        self.out, self.told, self.left = False, 0, 0  # withdrawn; since when it should be; when last not gone
         self.forget()
 
     def forget(self):
         self.busy = self.rate = self.heard = 0.0  # its reports, decaying: cores busy, calls a second, count
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
-        self.tries = self.dropped = 0.0  # sums with decay, for the part that fails
-        self.took = self.calls = 0.0  # answer time, and how many answers it rests on
-        self.quiet, self.missing = 0, 0.0  # since its last answer: spells with reports, answers due
-        self.shut = False  # it never answers
+        self.tries = self.dropped = self.took = self.calls = 0.0  # sums with decay; answer time, of how many
+        self.quiet, self.missing, self.shut = 0, 0.0, False  # since its last answer: spells, answers due
 
     def answering(self):
         return sum(rate for rate, _ in self.served.values())
@@ -84,10 +75,8 @@
     def __init__(self, zone, typical, now, standing, brought):
         self.zone, self.typical, self.since = zone, typical, now
         self.standing, self.brought = standing, brought  # only what it drew at its start; others' withdrawals
-        self.usage = {}  # route -> calls a second
-        self.bound, self.sheltered = set(), False  # tables
-        self.cost = 0  # lines that this round has put into its message
-        self.sent = []  # when messages were written, within the counted span
+        self.usage, self.bound, self.sheltered = {}, set(), False  # route -> calls a second; tables
+        self.cost, self.sent = 0, []  # lines of this round's message; when counted ones were written
 
     def calls(self):
         return sum(self.usage.values()) if self.usage else self.typical
@@ -95,25 +84,21 @@
 
 class Planner:
     def __init__(self, bootstrap, seed):
-        self.boot, self.seed, self.draws = bootstrap, seed, 0
+        self.boot, self.seed, self.draws, self.head = bootstrap, seed, 0, bootstrap.head + 1  # with its mark
         self.backends, self.proxies = {}, {}
         self.tables, self.levels = {}, {}  # table -> {backend: weight}, route -> level: as sent
-        self.refuge = []  # backends in the table for proxies that wait
         self.theta = {}  # table -> {backend: multiplier}
-        self.cold = {}  # cold backend -> its part of the fleet, which no floor lifts
-        self.share = [1.0] * len(bootstrap.routes)
+        self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
+        self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
-        self.granted = [0.0] * len(bootstrap.routes)
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 3  # of one turn's reports: tries, answered, time taken by answers
-        self.spell = 1.0  # cycles in which the lines of all proxies and backends come round
+        self.spell, self.level = 1.0, 1.0  # cycles in which all lines come round; how far backends fill
         self.changed = self.lacking = False  # the list has; backends that run have no line
-        self.unsaid, self.say_at, self.behind = set(), None, False  # withdrawals: to repeat, due, late
-        self.fleet, self.before = None, 0.0  # what all backends can do; what they did before trouble
-        self.width = 0.0  # size of what runs, cold ones in part
+        self.unsaid, self.say_at, self.behind, self.repeating = set(), None, False, False  # of withdrawals
+        self.fleet, self.before, self.width = None, 0.0, 0.0  # all can do; did before trouble; size
         self.strained, self.dropped_at = False, 0  # the fleet is slow; its capacity's last drop
-        self.level = 1.0  # the part of their capacity to which backends are filled
 
     def round(self, now, arrivals, out):
         self.now, self.out, self.changed = now, out, False
@@ -128,6 +113,7 @@
         while self.due and self.due[0][0] <= now:
             heappop(self.due)[2]()
         if turn:
+            self.forget()
             self.judge()
             self.learn()
             self.shares = [*self.shares[1:], list(self.share)]
@@ -163,7 +149,7 @@
                 if x.state == "gone" or started != x.started:
                     x.forget()
                 x.zone, x.kind, x.size, x.started = zone, kind, max(size, 0.01), started
-            x.state = state
+            x.state, x.left = state, self.now
         if how != "changes":
             present = {entry[0] for entry in entries}
             for b, x in self.backends.items():
@@ -172,15 +158,42 @@
         if any(x.state != "running" and not x.out for x in self.backends.values()):
             self.say()
 
+    def forget(self):
+        """What has been gone for long and stands in no table is forgotten by all parts at once. Could do harm
+        where it comes back under its old id: a proxy that has been away since may still shut it out."""
+        for b, x in list(self.backends.items()):
+            if x.state != "gone":
+                x.left = self.now
+            elif self.now - x.left > REST * self.boot.grace and b not in self.refuge and not any(
+                    b in lines for lines in self.tables.values()):
+                del self.backends[b]
+                self.unsaid.discard(b)
+                self.out.forget(b)
+
     def joined(self, p, zone, typical, standing, brought=0):
         self.left(p)
         self.proxies[p] = Proxy(zone, typical, self.now, standing, brought)
         self.rebase(zone, typical)
-        for b in self.backends.keys() - self.unsaid:
-            if self.backends[b].out:
+        if not self.repeating:
+            self.repeating = True
+            self.later(int(GATHER * self.boot.grace), self.repeat)
+
+    def repeat(self):
+        """Rule 3: who has come and still waits for a table may hold lines of what went meanwhile."""
+        self.repeating = False
+        if any(self.waits(p) for p in self.proxies.values()):
+            for b in self.lately() - self.unsaid:
                 self.backends[b].told = self.now
                 self.unsaid.add(b)
-                self.say()
+                self.say_at, self.changed = self.now, True
+
+    def waits(self, proxy):
+        return len(proxy.bound) < len(self.boot.routes)
+
+    def lately(self):
+        """What is withdrawn, but for what went so long ago that no table should still name it."""
+        since = self.now - LATELY * self.boot.grace
+        return {b for b, x in self.backends.items() if x.out and (x.state != "gone" or x.left > since)}
 
     def say(self):
         """Withdrawals wait a part of the grace for others, as every message costs its head."""
@@ -196,8 +209,7 @@
             self.rebase(proxy.zone, -proxy.calls())
 
     def rebase(self, zone, change):
-        """What is known of the fleet is what the joined proxies use: it moves with them, or a dead
-        coordinator's would look like a surge. Could do harm where typical rates were far off."""
+        """What the joined proxies use moves with them. Could do harm where typical rates were far off."""
         whole = sum(p.calls() for p in self.proxies.values())
         if whole > 0 and whole > change:
             part = whole / (whole - change)
@@ -235,8 +247,7 @@
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
         proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
-        # Where more lines are due in a cycle than the intake lets through, one that is missing from a turn is
-        # the usual case: all that waits for reports counts in spells. Where proxies are idle it waits longer.
+        # All that waits for reports counts in spells, as a line missing from a turn is the usual case.
         self.spell += (max(covers / self.boot.cycle, 1.0) - self.spell) / (4 * len(self.proxies))
 
     def applied(self, p, number):
@@ -247,10 +258,7 @@
                 del self.owed[:i]
                 break
 
-    def ignored(self, *_):
-        """Of no use to this mechanism; a timer only causes the round."""
-
-    woke = probed = peer_said = slice_given = slice_line = slice_calls = ignored
+    woke = probed = peer_said = slice_given = slice_line = slice_calls = lambda *_: None  # no use
 
     # Health, by symptom
 
@@ -258,16 +266,15 @@
         return {b: x for b, x in self.backends.items() if x.state == "running"}
 
     def judge(self):
-        """Shuts out what by the others' answers owes more than chance can account for: silent backends, dead
-        ones on a stale list, cut-off zones; late reports stop the others' answers too. Could do harm where a
-        zone's reports alone fall behind: hence the cap, and one answer to the trickle brings it back."""
+        """Shuts out what by the others' answers owes more than chance can account for; late reports stop
+        these too. Could do harm where one zone's fall behind: hence the cap; one answer brings it back."""
         if not self.tally[0]:
             return
         running, demands, due = self.running(), self.demands(), {}
         for table, lines in self.tables.items():
             total = sum(w for b, w in lines.items() if b in running)
             for b, w in lines.items():
-                due[b] = due.get(b, 0.0) + demands[self.route_of(table)] * w / max(total, 1e-9)
+                due[b] = due.get(b, 0.0) + demands[table % len(demands)] * w / max(total, 1e-9)
         whole = sum(due[b] for b in due if b in running) or 1.0
         bound = sum(bool(p.bound) for p in self.proxies.values()) / max(len(self.proxies), 1)
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
@@ -311,13 +318,11 @@
         served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
-        # Slowness alone tells a full fleet: fewer calls mend no losses, and full backends that refuse are
-        # slow as well. Could do harm where waiting rooms are very short.
+        # Slowness alone tells a full fleet. Could do harm where waiting rooms are very short.
         if took > slow_at:
             # Once, then not until it can have been reported. What is served now can be done.
             fleet = self.fleet or served
-            if not self.strained:
-                self.before = fleet * self.level
+            self.before = self.before if self.strained else fleet * self.level
             if not self.strained or self.now - self.dropped_at >= self.cycles(PATIENCE):
                 fleet, self.dropped_at = min(fleet, fleet * self.level / 2), self.now
             self.strained, self.fleet = True, max(fleet, served * max(slow_at / took, DRAIN))
@@ -368,9 +373,6 @@
 
     # The waterfill decides rates, shares and weights
 
-    def route_of(self, table):
-        return table % len(self.boot.routes)
-
     def layout(self):
         """One shared table a route, or one for each zone where it may not leave the proxy's."""
         for route, r in enumerate(self.boot.routes):
@@ -406,8 +408,7 @@
             self.fleet, fit = sum(capacity.values()), 1.0
         grants = wants
         if fit > 1.0:
-            # What each route may have, the important first. Its multipliers would be stale: a route that gets
-            # all it asks for is bound by no backend.
+            # What each route may have, the important first; one that gets all is bound by no backend.
             rates, _ = self.fill(wants, weights, capacity)
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
             fit = self.fit(grants, capacity)
@@ -415,15 +416,14 @@
         _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
         self.theta.update(thetas)
         for route in range(len(demands)):
-            mine = [t for t in wants if self.route_of(t) == route]
+            mine = [t for t in wants if t % len(demands) == route]
             if mine:
                 part = sum(grants[t] for t in mine) / sum(wants[t] for t in mine)
                 self.granted[route] = sum(grants[t] for t in mine)
                 self.share[route] = 1.0 if part > 1.0 - FINE else part * (1 - AGAIN) / (1 - AGAIN * part)
 
     def fit(self, wants, capacity):
-        """The part of the capacity that the wants take, with a little slack for the multiplier loop to
-        close on."""
+        """The part of the capacity that the wants take, with a little slack for the multiplier loop."""
         single = [want / max(sum(capacity[b] for b in self.theta[t]), 1e-9) for t, want in wants.items()]
         return SLACK * max(*single, sum(wants.values()) / max(sum(capacity.values()), 1e-9))
 
@@ -465,44 +465,42 @@
             left -= rate
         return round(quota, 3)
 
-    def users(self, table):
-        return [p for p in self.proxies.values() if table in p.bound]
-
     def bar(self, which, out, part):
         """Withdraws backends or lets them in, a line at each proxy whose table names them: all at once, as
         every message costs its head, or what fits into half a backlog. Returns those still to be said."""
-        named = any(b in lines for b in which for lines in self.tables.values())
-        holders = [p for p in self.proxies.values() if named or not p.bound]
-        space = (part * self.boot.backlog - self.queue) / max(len(holders), 1) - self.boot.head - 1
+        fresh = [b for b in which if self.backends[b].out != out]  # the rest is said again, to those who wait
+        named = any(b in lines for b in fresh for lines in self.tables.values())
+        holders = [p for p in self.proxies.values() if named or self.waits(p)]
+        space = max(int((part * self.boot.backlog - self.queue) / max(len(holders), 1) - self.head), 0)
         full = self.queue > self.boot.backlog / 2 and space < len(which)
         if full or part < OUT and not self.fits(holders, part, len(which)):
             return which
-        for b in which[:int(space)]:
+        for b in which[:space]:
             self.backends[b].out = out
             self.out.withdraw(b, out)
             self.charge(holders)
-        return which[int(space):]
+        return which[space:]
 
     def charge(self, proxies, lines=1):
         """All that is not known to have left counts as waiting, which holds at any pace."""
         for p in proxies:
-            self.queue += lines + (0 if p.cost else self.boot.head + 1)
+            self.queue += lines + (0 if p.cost else self.head)
             p.cost += lines
 
     def fits(self, users, part, lines=1):
-        """Rule 5: whether an order that can wait may go: its lines and heads stay within that part of the
-        backlog, and half of the counted messages is for the rest."""
+        """Rule 5: whether an order that can wait may go; half of the counted messages is for the rest."""
         most, since = self.boot.messages_most, self.now - self.boot.messages_over
         if part < OUT and (self.behind or most and
                            any(2 * sum(at > since for at in p.sent) >= most for p in users)):
             return False
-        cost = sum(lines + (0 if p.cost else self.boot.head + 1) for p in users)
-        return self.queue + cost <= part * min(self.boot.backlog, self.boot.pace * self.boot.grace / 2e6)
+        cost = sum(lines + (0 if p.cost else self.head) for p in users)
+        space = part * min(self.boot.backlog, self.boot.pace * self.boot.grace / 2e6)
+        crowd = min(space / 2 + self.head * len(users), CROWD * self.boot.backlog) * (part > AT_ONCE)
+        return self.queue + cost <= max(space, crowd)
 
     def push(self, turn):
-        """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered for the
-        turn, withdrawals for a part of their grace. New lines go at once where that costs little."""
-        changes, unplaced, demands = [], set(), self.demands()
+        """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered."""
+        changes, unplaced, demands, lately = [], set(), self.demands(), self.lately()
         for table, route, _ in self.layout():
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
             calls = demands[route] / max(len(theta), 1)
@@ -512,10 +510,10 @@
                 if abs(weight - old) > CHANGED * old:
                     order = 0 if bare else 1 if old == 0.0 or self.backends[b].out else 2
                     changes.append((order, -abs(weight - old) * calls, table, b, weight))
-            changes.extend((3, 0.0, table, b, 0.0) for b in lines if theta and b not in theta)
+            changes += [(2 + (b in lately), -FULL, table, b, 0.0) for b in lines if theta and b not in theta]
         self.lacking = False
         for order, _, table, b, weight in sorted(changes):
-            users = self.users(table)
+            users = [p for p in self.proxies.values() if table in p.bound]
             part = (NEW if order < 2 else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
             if order and not self.fits(users, part):
                 unplaced.add(b)  # and so not let in again either
@@ -527,12 +525,13 @@
             self.out.line(table, b, weight)
             self.charge(users, 1 + self.backends[b].out)  # its withdrawal may not have been said yet
         back = [b for b, x in self.backends.items() if x.out and x.state == "running" and b not in unplaced]
-        if all(p.bound for p in self.proxies.values()):
+        if not any(self.waits(p) for p in self.proxies.values()):
             self.unsaid.clear()
         gone = [b for b, x in self.backends.items() if x.state != "running" and x.out <= (b in self.unsaid)]
         gone.sort(key=lambda b: (self.backends[b].told, b))
         due = turn or self.say_at is not None and self.now >= self.say_at
-        rest = self.bar(gone, True, OUT if due else AT_ONCE)
+        part, again = OUT if due else AT_ONCE, [b for b in gone if self.backends[b].out]
+        rest = self.bar([b for b in gone if b not in again], True, part) + self.bar(again, True, part)
         self.unsaid.intersection_update(rest)
         self.behind, self.say_at = due and bool(rest), self.say_at if rest else None
         if self.behind:
@@ -556,8 +555,8 @@
         return part / whole if part < (1.0 - FINE) * whole else 1.0
 
     def shelter(self, waiting):
-        """Rule 1: a release or mass death takes away what proxies drew at their start. Those that wait for a
-        binding get a small table of able backends meanwhile. Could do harm by crowding these."""
+        """Rule 1: a release takes away what proxies drew at their start. Those that wait for a binding get a
+        small table of able backends meanwhile. Could do harm by crowding these."""
         everywhere = set.intersection(*(set(self.paths(r, None)) for r in range(len(self.boot.routes))))
         able = {b for b in everywhere if self.warmth(self.backends[b]) >= 1.0 and not self.backends[b].out}
         table = len(self.boot.routes) * (1 + self.boot.zones)  # the first that layout leaves free
@@ -582,13 +581,16 @@
 
     def join(self):
         """Binds proxies to the shared tables, after withdrawals and lines of what has none."""
-        if all(len(p.bound) == len(self.tables) for p in self.proxies.values()):
+        if not any(self.waits(p) for p in self.proxies.values()):
+            while self.refuge:
+                self.out.line(len(self.boot.routes) * (1 + self.boot.zones), self.refuge.pop(), 0.0)
             return
-        demands = self.demands()
-        out, wanted, waiting = sum(x.out for x in self.backends.values()), [], {}
+        demands, wanted, waiting = self.demands(), [], {}
+        out, running = len(self.lately()), self.running().values()
+        strange = self.fleet is None or sum(not x.calls for x in running) > NEWCOMERS * len(running)
         for p, proxy in self.proxies.items():
             early = self.now - proxy.since < self.cycles(PATIENCE)
-            if not proxy.standing and self.fleet is None and early and out < len(self.backends) / 2:
+            if not proxy.standing and strange and early and out < (out + len(running)) / 2:
                 continue  # after a crash, what one that knew has laid is better
             calls = proxy.calls()
             wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
@@ -602,11 +604,11 @@
             self.out.bind(p, table, (route,))
             proxy.bound.add(table)
             self.charge([proxy], cost)
-        if waiting and self.say_at is None and out > AT_RISK * len(self.backends):
+        if waiting and self.say_at is None and out > AT_RISK * (out + len(running)):
             self.shelter(waiting)
 
     def post(self):
-        written = {p: proxy.cost + self.boot.head + 1 for p, proxy in self.proxies.items() if proxy.cost}
+        written = {p: proxy.cost + self.head for p, proxy in self.proxies.items() if proxy.cost}
         if written:
             self.mark = (self.mark + 1) % 65536
             self.out.mark(self.mark)
--- a/cranecleat/protocol/registry.py
+++ b/cranecleat/protocol/registry.py
@@ -15,28 +15,39 @@
 NAME = re.compile(r"[^\s,:+=]{1,200}")  # what can stand in an order
 
 
-def decode(entry, zones, kinds):
-    """A list, or changes of it, as version, scope and entries whose backends still have their names."""
+def record(target, zones, kinds):
+    """One entry of a list; its backend still has its name."""
     try:
-        records, version = [], entry["rev"]
-        for target in entry["targets"]:
-            name, state, started = target["uid"], target["state"], target["boot_ms"] or 0
-            size = target.get("capacity_hint", 1.0)
-            if not isinstance(name, str) or not NAME.fullmatch(name):
-                raise Unreadable(Reason.BAD_LIST, f"a name that no order can hold: {name!r:.60}")
-            if not 0 <= started <= 1e15 or not 0 <= size <= 1e9:
-                raise Unreadable(Reason.BAD_LIST, f"{name}: a figure out of range")
-            records.append((name, STATES[state], zones[target["az"]], kinds[target["model"]], float(size),
-                            round(started * MILLI)))
-        if isinstance(version, bool) or not isinstance(version, int):
-            raise Unreadable(Reason.BAD_LIST, "a version that is no whole number")
-        return version, "whole" if entry["all"] else "changes", records
+        name, state, started = target["uid"], target["state"], target["boot_ms"] or 0
+        size = target.get("capacity_hint", 1.0)
+        if not isinstance(name, str) or not NAME.fullmatch(name):
+            raise Unreadable(Reason.BAD_LIST, f"a name that no order can hold: {name!r:.60}")
+        if not 0 <= started <= 1e15 or not 0 <= size <= 1e9:
+            raise Unreadable(Reason.BAD_LIST, f"{name}: a figure out of range")
+        return (name, STATES[state], zones[target["az"]], kinds[target["model"]], float(size), round(started * MILLI))
     except Unreadable:
         raise
     except KeyError as missing:
         raise Unreadable(Reason.BAD_LIST, f"missing or unknown: {missing.args[0]!r:.60}") from None
     except (TypeError, AttributeError, ValueError, OverflowError) as wrong:
-        raise Unreadable(Reason.BAD_LIST, f"no list of backends: {wrong}") from None
+        raise Unreadable(Reason.BAD_LIST, f"no entry of a list: {wrong}") from None
+
+
+def decode(entry, zones, kinds):
+    """A list, or changes of it, as version, scope, entries, and what is wrong with the others: each costs only
+    itself. Their names, where those can be read, or None -> why."""
+    if not isinstance(entry, dict) or not isinstance(entry.get("targets"), list) or "all" not in entry:
+        raise Unreadable(Reason.BAD_LIST, "no list of backends")
+    version, records, wrong = entry.get("rev"), [], {}
+    if isinstance(version, bool) or not isinstance(version, int):
+        raise Unreadable(Reason.BAD_LIST, "a version that is no whole number")
+    for target in entry["targets"]:
+        try:
+            records.append(record(target, zones, kinds))
+        except Unreadable as why:
+            name = target.get("uid") if isinstance(target, dict) else None
+            wrong[name if isinstance(name, str) else None] = str(why)
+    return version, "whole" if entry["all"] else "changes", records, wrong
 
 
 class Lines:
@@ -164,7 +175,7 @@
             entry = json.loads(line)
         except (ValueError, RecursionError) as wrong:
             raise Unreadable(Reason.BAD_LIST, f"no JSON: {wrong}") from None
-        version, scope, entries = decode(entry, self.hub.reader.zones, self.hub.kinds)
+        version, scope, entries, wrong = decode(entry, self.hub.reader.zones, self.hub.kinds)
         now = self.hub.clock.now()
         if version < self.version:
             if scope == "changes":
@@ -172,4 +183,4 @@
             if now - self.reached < LAG:
                 raise Unreadable(Reason.BAD_LIST, f"version {version} after {self.version}")
         self.version, self.reached = version, now
-        self.hub.listed(scope, entries)
+        self.hub.listed(scope, entries, wrong)
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -35,7 +35,7 @@
     def start(self):
         """The planner knows the list as it was last had before anybody is answered."""
         self.waiting = True  # for the round right below
-        self.listed("held", self.station.known[1])
+        self.listed("held", *self.station.known[1:])
         self.round()
 
     def accept(self):
@@ -50,7 +50,15 @@
                 self.waiting = True
                 self.clock.at(max(self.clock.now(), self.last + self.station.round), self.round)
 
-    def listed(self, scope, entries):
+    def listed(self, scope, entries, wrong):
+        """An entry that cannot be used leaves its backend as it was; a whole list with one is taken as changes, in
+        which what is missing has gone, unless that may be the one whose name cannot be read."""
+        for why in wrong.values():
+            self.count("bad_entry", detail=why)
+        if wrong and scope == "whole":
+            scope, named = "changes", {*wrong, *(name for name, *_ in entries)}
+            if None not in wrong:
+                entries = entries + [(name, "gone", 0, 0, 1.0, 0) for name in self.names.index if name not in named]
         for name, state, *_ in entries:
             self.log.info("listed", scope=scope, uid=name, state=state)
         self.told(("listed", scope, [(self.names(name), *rest) for name, *rest in entries]))
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -56,7 +56,7 @@
         raise Malformed(f"cannot listen on {where}: {failure.strerror}") from None
     coordinator.registry.dial()
     gc.freeze()
-    log.info("serving", listen=where, backends=len(coordinator.names.ids))
+    log.info("serving", listen=where, backends=len(coordinator.names.index))
     code = await ended
     listener.close()
     coordinator.stop()
--- a/cranecleat/service/start.py
+++ b/cranecleat/service/start.py
@@ -26,7 +26,7 @@
     proxies: int
     patience: int  # the longest time limit of a call
     bootstrap: Bootstrap
-    known: tuple[int, list]  # the list as last had: its version and entries
+    known: tuple[int, list, dict]  # the list as last had: its version, its entries, what is wrong with others
 
 
     def kept(self, other):
@@ -68,14 +68,14 @@
         boot = bootstrap(info)
         zones = {name: index for index, name in enumerate(info["localities"])}
         kinds = {name: index for index, name in enumerate(info.get("skus", []))}
-        version, _, entries = decode(told["known"], zones, kinds)
+        version, _, *listed = decode(told["known"], zones, kinds)
         return Station(
             name=str(told["name"]), listen=address(told["listen"]), discovery=address(told["discovery"]),
             seed=str(told["seed"]), memory=int(limits["memory_mb"] * 2**20), descriptors=int(limits["sockets"]),
             round=micros(info["round"]), routes=tuple(route["name"] for route in info["requestClasses"]),
             zones=zones, kinds=kinds, proxies=int(info["specifics"]["proxyCount"]),
             patience=micros(max(route["giveUp"] for route in info["requestClasses"])), bootstrap=boot,
-            known=(version, entries))
+            known=(version, *listed))
     except KeyError as missing:
         raise Malformed(f"{path}: {missing.args[0]!r} is missing") from None
     except Unreadable as wrong:
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -14,6 +14,8 @@
         load = event.get("telemetry") or {}
         busy, served = load.get("utilization"), load.get("throughput")
         known = isinstance(busy, (int, float)) and isinstance(served, (int, float))
+        if event["backend"] not in names.index:
+            return None  # forgotten, or never listed
         return ("met", names(event["backend"]), int(event.get("failureDomain", 0)), int(event.get("many", 0)),
                 int(event.get("unanswered", 0)), micros(event.get("costTime", 0)),
                 micros(event.get("covers", 0)), (float(busy), float(served)) if known else None)
@@ -81,6 +83,9 @@
         self.put("ration", routeTable=ALL if table is None else table, classes=self.bits(routes), quota=level,
                  how=tries)
 
+    def forget(self, backend):
+        self.names.forget(backend)
+
     def mark(self, number):
         self.put("seal", number=number, set=False)
 
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -1,6 +1,7 @@
 """One scene for each failure that was met; see docs/incidents and the history."""
 
-from scene import Scene, same
+from cranecleat.policy import REST
+from scene import SECOND, Scene, same
 
 ALL = [0, 1, 2, 3]
 
@@ -145,3 +146,59 @@
     scene.list(*((b, "running", None) for b in range(4)), after=0.3)
     scene.tell(after=0.4)
     same("release", scene)
+def test_after_a_crash_proxies_keep_their_tables_until_the_fleet_has_been_heard():
+    scene = Scene(verbs=("bind", "line"))
+    scene.list(*((b, "running", None) for b in range(4)))
+    scene.tell(*(("joined", p, 0, 20.0, False) for p in (1, 2)), after=0.1)
+    scene.say("one of four backends has been heard: its report alone would make the tables")
+    scene.second([0], load=(0.5, 40.0))
+    scene.say("all have, and they differ")
+    scene.tell(*(("met", b, 0, 10, 0, SECOND // 10, SECOND, (0.5, 40.0 * (1 + b))) for b in range(4)), after=0.9)
+    scene.tell(after=0.1)
+    same("crash_unheard", scene)
+
+
+def test_where_the_heads_of_many_proxies_fill_the_parts_weights_and_levels_still_go_out():
+    scene = Scene(verbs=("line", "admit"), backlog=1000, pace=1000.0, head=10.0)
+    scene.list(*((b, "running", None) for b in range(4)))
+    for first in range(0, 45, 5):
+        scene.join(*range(first, first + 5), after=0.2)
+        scene.tell(after=0.1)
+    text, scene.text = scene.text, []
+    for _ in range(3):
+        scene.tell(*(("met", b, 0, 40, 0, SECOND // 10, SECOND, (0.5, 40.0 * (1 + 4 * b))) for b in range(4)),
+                   *(("came", p, r, 2, SECOND) for p in range(45) for r in (0, 1)), after=1.0)
+    same("crowd", scene)
+
+
+def test_what_has_been_gone_for_long_is_forgotten_once_no_table_names_it():
+    scene = Scene(verbs=("line", "withdraw", "forget"))
+    scene.list((0, "running", None), (1, "running", None))
+    scene.join(1)
+    scene.tell(after=0.1)
+    scene.list((0, "running", None), (2, "running", 0), after=1.0)
+    for _ in range(REST * 2 + 2):
+        scene.second([0, 2])
+        scene.join(1)  # its stream breaks all the time
+    scene.say("and is a new one when it comes back")
+    scene.list((1, "running", 0), how="changes")
+    scene.tell(after=1.0)
+    assert set(scene.planner.backends) == {0, 1, 2} and not scene.planner.unsaid
+    same("forgotten", scene)
+
+
+def test_among_many_proxies_those_who_come_during_a_release_do_not_hold_its_new_lines_up():
+    scene = Scene(verbs=("line", "withdraw"), backlog=1000, pace=1000.0, head=10.0)
+    scene.list(*((b, "running", None) for b in range(8)))
+    for first in range(0, 45, 5):
+        scene.join(*range(first, first + 5), after=0.2)
+        scene.tell(after=0.1)
+    scene.text.clear()
+    scene.say("four of eight are replaced; a stream breaks and comes again all the time")
+    scene.list(*((b, "running", None) for b in range(4, 12)), after=0.1)
+    for _ in range(12):
+        for _ in range(4):
+            scene.tell(after=0.25)
+            scene.join(1)
+    assert set(range(8, 12)) <= set(scene.planner.tables[0]) and scene.planner.queue <= 1000
+    same("crowd_release", scene)
