--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -94,7 +94,7 @@
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 3  # of one turn's reports: tries, answered, time taken by answers
-        self.spell, self.level = 1.0, 1.0  # cycles in which all lines come round; how far backends fill
+        self.spell, self.level, self.flow = 1.0, 1.0, 0.0  # cycles in which lines come round; answered
         self.changed = self.lacking = False  # the list has; backends that run have no line
         self.unsaid, self.say_at, self.behind, self.repeating = set(), None, False, False  # of withdrawals
         self.fleet, self.before, self.width = None, 0.0, 0.0  # all can do; did before trouble; size
@@ -155,8 +155,10 @@
             for b, x in self.backends.items():
                 if b not in present and x.state != "gone":
                     x.state, x.told = "gone", self.now
-        if any(x.state != "running" and not x.out for x in self.backends.values()):
-            self.say()
+        if self.say_at is None and any(x.state != "running" and not x.out for x in self.backends.values()):
+            # Withdrawals wait a part of the grace for others, as every message costs its head.
+            self.say_at = self.now + int(GATHER * self.boot.grace)
+            self.later(int(GATHER * self.boot.grace), lambda: setattr(self, "changed", True))
 
     def forget(self):
         """What has been gone for long and stands in no table is forgotten by all parts at once. Could do harm
@@ -195,12 +197,6 @@
         since = self.now - LATELY * self.boot.grace
         return {b for b, x in self.backends.items() if x.out and (x.state != "gone" or x.left > since)}
 
-    def say(self):
-        """Withdrawals wait a part of the grace for others, as every message costs its head."""
-        if self.say_at is None:
-            self.say_at = self.now + int(GATHER * self.boot.grace)
-            self.later(int(GATHER * self.boot.grace), lambda: setattr(self, "changed", True))
-
     def left(self, p):
         proxy = self.proxies.pop(p, None)
         if proxy:
@@ -212,13 +208,16 @@
         """What the joined proxies use moves with them. Could do harm where typical rates were far off."""
         whole = sum(p.calls() for p in self.proxies.values())
         if whole > 0 and whole > change:
-            part = whole / (whole - change)
-            self.fleet, self.before = self.fleet and self.fleet * part, self.before * part
+            self.scale(whole / (whole - change))
         zoned = sum(p.calls() for p in self.proxies.values() if p.zone == zone)
         for x in self.backends.values():
             if zone in x.served and zoned > change:
                 x.served[zone][0] *= zoned / (zoned - change)
 
+    def scale(self, part):
+        self.fleet = self.fleet and self.fleet * part
+        self.before, self.flow = self.before * part, self.flow * part
+
     def met(self, b, zone, tries, dropped, took, covers, load):
         x = self.backends.get(b)
         if x is None or x.state == "gone" or tries <= 0 or covers <= 0:
@@ -306,6 +305,7 @@
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
         (tries, answered, taken), self.tally = self.tally, [0] * 3
+        self.flow += (answered * 1e6 / self.boot.cycle - self.flow) / (1.0 + self.spell)
         new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < self.cycles(SETTLED))
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
             return  # those that have just come are in the demand before they are in the reports
@@ -315,7 +315,7 @@
                 x.tries, x.dropped = x.tries / 2, x.dropped / 2
             for zone, known in x.served.items():
                 known[0] *= 0.5 ** (1 / self.spell) if self.now - known[1] > self.cycles(0) else 1.0
-        served = sum(x.answering() for x in running)
+        served = max(sum(x.answering() for x in running), min(self.flow, sum(self.demands())))  # or by what went
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
         # Slowness alone tells a full fleet. Could do harm where waiting rooms are very short.
@@ -361,8 +361,7 @@
         whole = sum(part.values()) or 1.0
         width = sum(x.size * self.warmth(x) for x in running.values())
         if self.width and self.fleet is not None:
-            self.fleet *= width / self.width
-            self.before *= width / self.width
+            self.scale(width / self.width)
         self.width = width
         if reports:  # what is reported is not grown beyond
             self.fleet = min(self.fleet, whole) if self.fleet and self.before else whole
@@ -501,6 +500,7 @@
     def push(self, turn):
         """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered."""
         changes, unplaced, demands, lately = [], set(), self.demands(), self.lately()
+        waits = any(self.waits(p) for p in self.proxies.values())
         for table, route, _ in self.layout():
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
             calls = demands[route] / max(len(theta), 1)
@@ -514,8 +514,8 @@
         self.lacking = False
         for order, _, table, b, weight in sorted(changes):
             users = [p for p in self.proxies.values() if table in p.bound]
-            part = (NEW if order < 2 else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
-            if order and not self.fits(users, part):
+            part = (NEW if order < 2 or waits else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
+            if order and users and not self.fits(users, part):  # what nobody holds yet costs nothing
                 unplaced.add(b)  # and so not let in again either
                 self.lacking = self.lacking or order < 2
                 continue
@@ -525,7 +525,7 @@
             self.out.line(table, b, weight)
             self.charge(users, 1 + self.backends[b].out)  # its withdrawal may not have been said yet
         back = [b for b, x in self.backends.items() if x.out and x.state == "running" and b not in unplaced]
-        if not any(self.waits(p) for p in self.proxies.values()):
+        if not waits:
             self.unsaid.clear()
         gone = [b for b, x in self.backends.items() if x.state != "running" and x.out <= (b in self.unsaid)]
         gone.sort(key=lambda b: (self.backends[b].told, b))
