--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -94,7 +94,7 @@
         self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
         self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 3  # of one turn's reports: tries, answered, time taken by answers
-        self.spell, self.level, self.flow = 1.0, 1.0, 0.0  # cycles in which lines come round; answered
+        self.spell, self.level = 1.0, 1.0  # cycles in which all lines come round; how far backends fill
         self.changed = self.lacking = False  # the list has; backends that run have no line
         self.unsaid, self.say_at, self.behind, self.repeating = set(), None, False, False  # of withdrawals
         self.fleet, self.before, self.width = None, 0.0, 0.0  # all can do; did before trouble; size
@@ -216,7 +216,7 @@
 
     def scale(self, part):
         self.fleet = self.fleet and self.fleet * part
-        self.before, self.flow = self.before * part, self.flow * part
+        self.before *= part
 
     def met(self, b, zone, tries, dropped, took, covers, load):
         x = self.backends.get(b)
@@ -305,7 +305,6 @@
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
         (tries, answered, taken), self.tally = self.tally, [0] * 3
-        self.flow += (answered * 1e6 / self.boot.cycle - self.flow) / (1.0 + self.spell)
         new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < self.cycles(SETTLED))
         if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
             return  # those that have just come are in the demand before they are in the reports
@@ -315,7 +314,7 @@
                 x.tries, x.dropped = x.tries / 2, x.dropped / 2
             for zone, known in x.served.items():
                 known[0] *= 0.5 ** (1 / self.spell) if self.now - known[1] > self.cycles(0) else 1.0
-        served = max(sum(x.answering() for x in running), min(self.flow, sum(self.demands())))  # or by what went
+        served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
         # Slowness alone tells a full fleet. Could do harm where waiting rooms are very short.
