--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -409,6 +409,12 @@
             # What each route may have, the important first; one that gets all is bound by no backend.
             rates, _ = self.fill(wants, weights, capacity)
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
+            # What Alg. 2 leaves unused is a margin while the fleet is slow. On the way back it is given out.
+            spare = 0.0 if self.strained else sum(capacity.values()) / SLACK - sum(grants.values())
+            for t in sorted(wants, key=weights.get, reverse=True):
+                reach = min(wants[t], sum(capacity[b] for b in self.theta[t])) - grants[t]
+                grants[t] += max(min(reach, spare), 0.0)
+                spare -= max(min(reach, spare), 0.0)
             fit = self.fit(grants, capacity)
         self.level = min(1.0, max(fit, 1e-6))
         _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
