--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -29,7 +29,7 @@
     def clear(self):
         """Forgets what this round has changed."""
         self.lines, self.fresh, self.moved, self.admitted = {}, {}, set(), set()
-        self.stamp, self.made = None, {}
+        self.stamp, self.ready, self.made = None, [], {}
 
     # Who is joined
 
@@ -85,19 +85,26 @@
             self.admitted.add((table, route))
 
     def mark(self, number):
+        """Comes last in a round. Returns who gets a message: a proxy that knows all of it already gets none."""
         self.stamp = number
+        self.ready = list(self.written())
+        return {proxy for proxy, *_ in self.ready}
 
     # What each proxy has to be told
 
     def messages(self):
         """The round's messages as (connection, bytes), at most one a proxy."""
+        ready = list(self.written()) if self.stamp is None else self.ready
+        self.clear()
+        return [message for _, *message in ready]
+
+    def written(self):
         for proxy, stream in self.joined.items():
             parts = self.parts(stream, self.fresh.get(proxy, ()))
             if parts:
                 if self.stamp is not None:
                     parts.append(self.once(assign, stamp=self.stamp))
-                yield stream.connection, self.once(join, tuple(parts))
-        self.clear()
+                yield proxy, stream.connection, self.once(join, tuple(parts))
 
     def once(self, make, *values, **named):
         """The same bytes are made once a round, however many proxies they go to."""
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -156,8 +156,7 @@
                 if b not in present and x.state != "gone":
                     x.state, x.told = "gone", self.now
         if self.say_at is None and any(x.state != "running" and not x.out for x in self.backends.values()):
-            # Withdrawals wait a part of the grace for others, as every message costs its head.
-            self.say_at = self.now + int(GATHER * self.boot.grace)
+            self.say_at = self.now + int(GATHER * self.boot.grace)  # for others: each message costs its head
             self.later(int(GATHER * self.boot.grace), lambda: setattr(self, "changed", True))
 
     def forget(self):
@@ -292,11 +291,12 @@
     # Learned capacity and demand
 
     def demands(self):
-        """Calls a second by route; proxies not yet heard count with what is typical, in the others' mix."""
-        n = len(self.boot.routes)
+        """Calls a second by route; what is not heard yet of a newcomer is typical, in the others' mix."""
+        n, since = len(self.boot.routes), self.now - self.cycles(SETTLED)
         totals = [sum(p.usage.get(route, 0.0) for p in self.proxies.values()) for route in range(n)]
-        heard, mute = sum(totals), sum(p.typical for p in self.proxies.values() if not p.usage)
-        return [t + mute * (t / heard if heard else 1 / n) for t in totals]
+        heard, mute = sum(totals), [sum(p.typical for p in self.proxies.values() if route not in p.usage and (
+            p.since > since or not p.usage)) for route in range(n)]
+        return [t + more * (t / heard if heard else 1 / n) for t, more in zip(totals, mute)]
 
     def first_tries(self):
         """Demand without the calls that come again because refused: with them the way back lags."""
@@ -317,8 +317,7 @@
         served = sum(x.answering() for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
-        # Slowness alone tells a full fleet. Could do harm where waiting rooms are very short.
-        if took > slow_at:
+        if took > slow_at:  # alone tells a full fleet. Could do harm where waiting rooms are very short.
             # Once, then not until it can have been reported. What is served now can be done.
             fleet = self.fleet or served
             self.before = self.before if self.strained else fleet * self.level
@@ -409,12 +408,6 @@
             # What each route may have, the important first; one that gets all is bound by no backend.
             rates, _ = self.fill(wants, weights, capacity)
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
-            # What Alg. 2 leaves unused is a margin while the fleet is slow. On the way back it is given out.
-            spare = 0.0 if self.strained else sum(capacity.values()) / SLACK - sum(grants.values())
-            for t in sorted(wants, key=weights.get, reverse=True):
-                reach = min(wants[t], sum(capacity[b] for b in self.theta[t])) - grants[t]
-                grants[t] += max(min(reach, spare), 0.0)
-                spare -= max(min(reach, spare), 0.0)
             fit = self.fit(grants, capacity)
         self.level = min(1.0, max(fit, 1e-6))
         _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
@@ -543,9 +536,8 @@
             self.later(self.boot.cycle // 10, lambda: setattr(self, "changed", True))
         self.bar(back, False, OUT if turn else AT_ONCE)
         for route in range(len(self.boot.routes)):
-            # For all tables, as some are not bound yet. Rule 4: as much as their lines can take.
             quota, old, proxies = self.quota(route), self.levels.get(route, -1.0), self.proxies.values()
-            quota = round(quota * self.reached(route), 3)
+            quota = round(quota * self.reached(route), 3)  # rule 4; for all tables, as some are not bound yet
             moved = turn and (abs(quota - old) > FINE * old or quota == 1.0 != old)
             if old < 0.0 or moved and self.fits(proxies, LEVELS):
                 self.levels[route] = quota
@@ -616,9 +608,11 @@
         written = {p: proxy.cost + self.head for p, proxy in self.proxies.items() if proxy.cost}
         if written:
             self.mark = (self.mark + 1) % 65536
-            self.out.mark(self.mark)
+            reached = self.out.mark(self.mark)
+            for p in written.keys() - (written.keys() if reached is None else reached):
+                self.queue -= written.pop(p)  # it knows all that already, and will acknowledge nothing
             self.owed.append((self.mark, written))
         most = self.boot.messages_most
-        for proxy in (self.proxies[p] for p in written):
-            proxy.sent = [*proxy.sent[1 - most:], self.now] if most else []
+        for p, proxy in self.proxies.items():
+            proxy.sent = [*proxy.sent[1 - most:], self.now] if most and p in written else proxy.sent
             proxy.cost = 0
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -158,7 +158,7 @@
         calls, self.arrivals, self.last = self.arrivals, [], self.clock.now()
         try:
             self.planner.round(self.last, calls, self.streams)
-            messages = list(self.streams.messages())
+            messages = self.streams.messages()
         except Exception as failure:  # a planner that has failed would lie from now on
             self.failed(failure)
             return
