--- a/tests/scene.py
+++ b/tests/scene.py
@@ -30,7 +30,8 @@
 INFO = {
     "groupSize": 1, "round": 0.002, "localities": ["a", "b"], "skus": ["big", "small"], "membershipMode": "push",
     "requestClasses": [{"name": "read", "credit": 2.0, "goalTime": 1.0, "giveUp": 5.0},
-                       {"name": "find", "credit": 1.0, "goalTime": 0.5, "giveUp": 2.0, "onlyKinds": [0], "onlyZones": ["b"]}],
+                       {"name": "find", "credit": 1.0, "goalTime": 0.5, "giveUp": 2.0, "onlyKinds": [0],
+                        "onlyZones": ["b"]}],
     "rules": {"askWithin": 10.0, "cold": 17.0, "coldFrom": 0.2, "stopSendingWithin": 3.0},
     "specifics": {"admission": "fraction", "cycle": 1.0, "backlog": 2000.0, "perMessage": 4.0, "egressPerS": 2000.0,
                   "proxyCount": 8},
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -158,13 +158,19 @@
     same("crash_unheard", scene)
 
 
-def test_where_the_heads_of_many_proxies_fill_the_parts_weights_and_levels_still_go_out():
-    scene = Scene(verbs=("line", "admit"), backlog=1000, pace=1000.0, head=10.0)
-    scene.list(*((b, "running", None) for b in range(4)))
+def crowd(backends, *verbs):
+    """45 proxies, whose heads alone take half of the backlog."""
+    scene = Scene(verbs=verbs, backlog=1000, pace=1000.0, head=10.0)
+    scene.list(*((b, "running", None) for b in range(backends)))
     for first in range(0, 45, 5):
         scene.join(*range(first, first + 5), after=0.2)
         scene.tell(after=0.1)
-    text, scene.text = scene.text, []
+    scene.text.clear()
+    return scene
+
+
+def test_where_the_heads_of_many_proxies_fill_the_parts_weights_and_levels_still_go_out():
+    scene = crowd(4, "line", "admit")
     for _ in range(3):
         scene.tell(*(("met", b, 0, 40, 0, SECOND // 10, SECOND, (0.5, 40.0 * (1 + 4 * b))) for b in range(4)),
                    *(("came", p, r, 2, SECOND) for p in range(45) for r in (0, 1)), after=1.0)
@@ -188,12 +194,7 @@
 
 
 def test_among_many_proxies_those_who_come_during_a_release_do_not_hold_its_new_lines_up():
-    scene = Scene(verbs=("line", "withdraw"), backlog=1000, pace=1000.0, head=10.0)
-    scene.list(*((b, "running", None) for b in range(8)))
-    for first in range(0, 45, 5):
-        scene.join(*range(first, first + 5), after=0.2)
-        scene.tell(after=0.1)
-    scene.text.clear()
+    scene = crowd(8, "line", "withdraw")
     scene.say("four of eight are replaced; a stream breaks and comes again all the time")
     scene.list(*((b, "running", None) for b in range(4, 12)), after=0.1)
     for _ in range(12):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -201,4 +201,5 @@
         assert set(planner.owed[-1][1] if planner.owed and planner.owed[-1][0] == mark else ()) <= set(sent)
         queues.append(round(planner.queue))
         calls, now = [("applied", p, mark) for p in sent], now + SECOND // 4
-    same("orders_known", [f"lines that wait: {queues}", f"bound: {sum(bool(p.bound) for p in planner.proxies.values())}"])
+    bound = sum(bool(p.bound) for p in planner.proxies.values())
+    same("orders_known", [f"lines that wait: {queues}", f"bound: {bound}"])
--- a/tests/test_parsers.py
+++ b/tests/test_parsers.py
@@ -72,7 +72,8 @@
 
 
 def test_what_is_no_line_is_told_apart():
-    bad = [b"", b" ", b"\xff\xfe", b"hb=1", b"owner set=1", b"done\xff node=1", b"done \xff=1", b"done node=1 node=1 nonce=1 latency=1", b"done node=1 nonce",
+    bad = [b"", b" ", b"\xff\xfe", b"hb=1", b"owner set=1", b"done\xff node=1", b"done \xff=1",
+           b"done node=1 node=1 nonce=1 latency=1", b"done node=1 nonce",
            b"done  node=1",
            b"done nonce=1 latency=1", b"done node=1 nonce=1", b"done node=8 nonce=1 latency=1",
            b"done latency=1 nonce=1 node=-1", b"done latency=1 nonce=1 node=1.5", b"done latency=1 node=1 nonce=nan",
@@ -131,7 +132,8 @@
     changes = ({"uid": None}, {"uid": "a b"}, {"uid": "a,b"}, {"az": "z"}, {"model": "x"}, {"state": "up"},
                {"boot_ms": -1}, {"boot_ms": "x"}, {"capacity_hint": float("nan")}, {"boot_ms": 10**400}, {"az": []})
     for change in changes:
-        _, _, good, wrong = registry.decode({"rev": 1, "all": True, "targets": [{**ENTRY, **change}, ENTRY]}, ZONES, KINDS)
+        whole = {"rev": 1, "all": True, "targets": [{**ENTRY, **change}, ENTRY]}
+        _, _, good, wrong = registry.decode(whole, ZONES, KINDS)
         assert len(good) == 1
         text.append(f"entry         {wrong}")
     for entry in ([], None, {}, {"rev": True, "all": True, "targets": []}, {"rev": 1, "all": True, "targets": 5}):
--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -144,7 +144,8 @@
         service.reload("{")
         text.append(service.log("reload_failed").replace(str(tmp_path), ""))
         service.registry = second
-        service.reload(discovery=service.where(second), seed="77", limits={"cores": 1, "memory_mb": 64, "sockets": 1024})
+        limits = {"cores": 1, "memory_mb": 64, "sockets": 1024}
+        service.reload(discovery=service.where(second), seed="77", limits=limits)
         text.append(service.log("reloaded"))
         _, asked = service.watch(service.list(44, full=False, s_3="active"))
         text += [asked, service.log("listed.*s-3"), service.log("connection_ended.*discovery")]
@@ -420,6 +421,25 @@
     same("service_two_watches", [str(line) for line in still.lines if line[0] != "planner"])
 
 
+def test_a_bad_entry_costs_itself_only_and_nothing_counts_as_gone_for_it(tmp_path):
+    still, hub = quiet_hub(tmp_path)
+    hub.start()
+    rounds, ask = [], Service(tmp_path).list
+    hub.planner.round = lambda now, calls, out: rounds.extend(calls)
+    watch = Watch(hub, hub.registry)
+    watch.connection_made(Still())
+    say(watch, HEAD + chunk(ask(42, s_1="active", s_2="active", s_3="active")))
+    for bad in ({"state": "up"}, {"uid": None}):
+        entry = ask(43, s_1="leaving", s_2="active")  # s-3 is not in it
+        entry["targets"][1].update(bad)
+        say(watch, chunk(entry))
+    assert watch.reason is None
+    still.pass_to(SUMMED / 1e6)
+    text = [str([scope, [(hub.names.ids[b], state) for b, state, *_ in entries]])
+            for verb, scope, entries in (call for call in rounds if call[0] == "listed")]
+    same("service_bad_entry", text + [str(line) for line in still.lines if line[0] == "bad_entry"])
+
+
 def test_who_leaves_too_much_unread_is_reset(tmp_path):
     still, hub = quiet_hub(tmp_path)
     proxy = hub.accept()
