Marks start where the seed says: an answer from an earlier life frees nothing

Found by reading: Planner counted marks from 0 at every start, so after a crash an answer to an earlier life's mark freed what the new one had just written under the same number. Ruled out before: an earlier stream's mark (left() takes its lines), a mark never sent (applied() finds none).

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -91,7 +91,8 @@
         self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
         self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
-        self.due, self.next_turn, self.mark, self.asks = [], None, 0, 0
+        self.due, self.next_turn, self.asks = [], None, 0
+        self.mark = zlib.crc32(f"{seed}:mark".encode()) % 65536  # unlike an earlier life's
         self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 3  # of one turn's reports: tries, answered, time taken by answers
         self.spell, self.level = 1.0, 1.0  # cycles in which all lines come round; how far backends fill
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -112,6 +112,21 @@
     assert desk.streams.leave(0, desk.streams.joined[0].connection) and not desk.streams.joined
 
 
+def test_marks_of_an_earlier_life_and_marks_never_sent_free_nothing():
+    earlier, planner, desk = Planner(BOOT, "first"), Planner(BOOT, "second"), Desk(3)
+    for one in (earlier, planner):
+        out = Desk(3).streams if one is earlier else desk.streams
+        out.join(1, object(), 20.0, True)
+        one.round(100 * SECOND, [("listed", "held", [(0, "running", 0, 0, 1.0, 0)]), ("joined", 1, 0, 20.0, True)], out)
+        assert one.queue > 0
+    before = planner.queue
+    marks = [earlier.mark, planner.mark - 1, planner.mark + 1]
+    planner.round(101 * SECOND, [("applied", 1, mark) for mark in marks], desk.streams)
+    assert planner.queue >= before
+    planner.round(101 * SECOND, [("applied", 1, planner.owed[-1][0])], desk.streams)
+    assert planner.queue == 0
+
+
 class Proxy:
     """What a proxy holds after the messages that it was sent, by PROTOCOL alone."""
 
