--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -34,7 +34,7 @@
                 taken, _ = self.socket.accept()
                 self.loop.create_task(self.loop.connect_accepted_socket(self.hub.accept, taken))
         except OSError as failure:  # nobody waits any more, or who waited has gone
-            if failure.errno in NO_ROOM and not self.hub.drop_stranger(Reason.CROWDED, failure.strerror):
+            if failure.errno in NO_ROOM and not self.hub.drop_stranger(failure.strerror):
                 self.hub.count("no_descriptor", says=failure.strerror)
                 self.loop.remove_reader(self.socket)  # it would be called without end
                 self.hub.clock.at(self.hub.clock.now() + PAUSE, self.open)
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -85,15 +85,15 @@
         self.strangers[stranger] = None
         while len(self.strangers) > self.share or (
                 len(self.strangers) > 1 and len(self.connections) > self.station.descriptors * (1 - SPARE)):
-            self.drop_stranger(Reason.CROWDED)
+            self.drop_stranger()
         if not self.expiring:
             self.expiring = True
             self.clock.at(stranger.opened + MUTE, self.expire)
 
-    def drop_stranger(self, reason, detail=None):
+    def drop_stranger(self, detail=None):
         first = next(iter(self.strangers), None)
         if first:
-            first.end(reason, detail)
+            first.end(Reason.CROWDED, detail)
         return first is not None
 
     def expire(self):
