--- a/cranecleat/protocol/reasons.py
+++ b/cranecleat/protocol/reasons.py
@@ -1,4 +1,4 @@
-"""Why a connection ended: the code in its one log line. docs/oncall.md says what to do about each."""
+"""Why a connection ended: the code in its one log line. docs/operators/oncall.md says what to do about each."""
 
 from enum import StrEnum
 
