--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -27,7 +27,7 @@
 IDLE, FULL = 0.02, 1e6  # a reported load that says nothing of the capacity; calls a second that limit nothing
 PROOF = 1  # rule 2: a further try, whatever the effect, only on proof that the first never ran
 # Parts of the backlog: cheap orders, weights, bindings, levels, new lines, these in a crowd, withdrawals.
-AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, CROWD, OUT = 0.1, 0.3, 0.33, 0.45, 0.5, 0.95, 0.98
+AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, CROWD, OUT = 0.1, 0.3, 0.33, 0.75, 0.5, 0.95, 0.98
 AT_RISK, REFUGE = 0.2, 12  # part of the known backends gone, backends in the table for proxies that wait
 GATHER, LATELY, REST = 0.12, 5, 20  # graces: to gather withdrawals; said to who comes; what went is forgotten
 
