Gossip between coordinators: signed claims of backends that do not answer, and an emulator

Its peers miss answers as well.

Change: cranecleat/gossip/ (SWIM and Lifeguard membership; one signed statement a member, merged by taking the later one; a trimmed sum of claims; 256-byte datagrams, Ed25519, replay windows, verification budgets, a fixed pace), one UDP shell; Planner.doubted, which shortens the proof and never replaces a whole spell of silence here; the operator's file (KDL, mistakes with lines), the command line (serve, check, keys, gossip status, rehearse gossip), import rules in make lint; cranecleat/rehearsal/, a small emulator that runs the real planner and gossip and checks the five rules. docs/design/gossip.md says why each rule holds whatever peers say.

Claims that add up by chance at twenty peers are weighed by the part of the members that make them.

--- a/Makefile
+++ b/Makefile
@@ -15,7 +15,8 @@
 
 lint: build
 	.venv/bin/pip -q install -r requirements-lint.txt
-	.venv/bin/ruff check cranecleat tests examples
+	.venv/bin/ruff check cranecleat tests examples benchmarks
+	.venv/bin/lint-imports --no-cache
 
 run: build
 	$(PYTHON) examples/toy.py & toy=$$!; trap "kill $$toy" EXIT; \
--- a/cranecleat/__main__.py
+++ b/cranecleat/__main__.py
@@ -1,6 +1,9 @@
-"""Starts one coordinator."""
+"""Starts one coordinator; with words behind it, the command line."""
 import sys
 
-from cranecleat.service.run import main
+if len(sys.argv) > 1:
+    from cranecleat.commands import main
+else:
+    from cranecleat.service.run import main
 
 sys.exit(main())
--- /dev/null
+++ b/cranecleat/commands/root.py
@@ -0,0 +1,51 @@
+"""The commands and what they share: one way to end with a mistake, one way to print a table."""
+
+import sys
+
+import typer
+
+from cranecleat.commands import gossip, keys, rehearse
+
+app = typer.Typer(no_args_is_help=True, add_completion=False, rich_markup_mode=None, pretty_exceptions_enable=False,
+                  help="A central planner that lays the tables of a layer of plain proxies.")
+app.add_typer(keys.app, name="keys")
+app.add_typer(gossip.app, name="gossip")
+app.add_typer(rehearse.app, name="rehearse")
+
+
+@app.command()
+def serve(operator: str = typer.Option(None, help="The operator's file, such as deploy/operator.kdl.",
+                                       envvar="CRANECLEAT_OPERATOR")):
+    """Runs one coordinator in the foreground, as `python -m cranecleat` without words does.
+
+    BALANCER_CONFIG names its configuration. SIGTERM ends it; SIGHUP reads the configuration and the operator's file
+    again. Exit codes: 0 stopped, 1 the planner failed, 2 it could not start.
+    """
+    import os
+
+    from cranecleat.service.run import main as run
+
+    if operator:
+        os.environ["CRANECLEAT_OPERATOR"] = operator
+    raise typer.Exit(run())
+
+
+@app.command()
+def check(file: str = typer.Argument(..., help="The operator's file."),
+          name: str = typer.Option(None, help="The coordinator that it is for: whether it stands in the roster.")):
+    """Checks an operator's file: each mistake with its line and what would be right. Exit code 2 if there is one."""
+    from cranecleat.operator.document import Mistaken
+    from cranecleat.operator.file import read
+
+    try:
+        switched = read(file, name)
+    except Mistaken as wrong:
+        for mistake in wrong.mistakes:
+            print(mistake, file=sys.stderr)
+        raise typer.Exit(2) from None
+    on = [section for section in ("gossip",) if getattr(switched, section)]
+    print(f"{file}: no mistake; switched on: {', '.join(on) or 'nothing'}")
+
+
+def main():
+    app()
--- /dev/null
+++ b/cranecleat/gossip/shell.py
@@ -0,0 +1,133 @@
+"""The UDP side of gossip: one socket, one timer step, one status file. Everything that is decided stands in `agent`."""
+
+import asyncio
+import json
+import os
+import socket
+import time
+
+from cranecleat.door import Malformed
+from cranecleat.gossip.agent import Agent
+from cranecleat.gossip.bridge import Bridge
+from cranecleat.gossip.keys import BadKey, load
+from cranecleat.gossip.roster import Roster, Unusable
+from cranecleat.gossip.seal import Signer
+
+STATUS = 1_000_000  # microseconds between two status files
+TOLD = 1_000_000  # and between two words to the planner of the same claims: it halves what is not said again
+
+
+def signer_of(section):
+    """The coordinator's own key; it has to be one of those that the roster gives for it."""
+    try:
+        signer = Signer(load(section.key))
+    except BadKey as wrong:
+        raise Malformed(str(wrong)) from None
+    mine = next(member for member in section.members if member.name == section.me)
+    if signer.public not in mine.keys:
+        raise Malformed(f"{section.key}: not a key that the roster gives for {section.me}; "
+                        f"put the line of `cranecleat keys show {section.key}` there")
+    return signer
+
+
+def roster_of(section):
+    try:
+        return Roster(section.group, section.me, section.members)
+    except Unusable as wrong:
+        raise Malformed(str(wrong)) from None
+
+
+class Courier(asyncio.DatagramProtocol):
+    """Carries an agent's datagrams. A coordinator without peers has none of this."""
+
+    def __init__(self, hub, section):
+        self.hub, self.section, self.transport = hub, section, None
+        self.agent = Agent(roster_of(section), signer_of(section), hub.station.seed, int(time.time()),
+                           hub.clock.now(), rate=section.rate)
+        self.bridge = Bridge(hub.planner, hub.names)
+        self.next_status = self.next_told = hub.clock.now()
+        self.claimed = self.armed = False
+        self.unwritten = None  # why the status file could not be written, said once
+
+    async def open(self):
+        host, port = self.section.listen
+        loop = asyncio.get_running_loop()
+        try:
+            await loop.create_datagram_endpoint(
+                lambda: self, (host, port), family=socket.AF_INET6 if ":" in host else socket.AF_INET)
+        except OSError as failure:
+            raise Malformed(f"gossip cannot listen on {host}:{port}: {failure.strerror}") from None
+        self.hub.log.info("gossip_open", listen=f"{host}:{port}", members=len(self.agent.roster.members),
+                          life=self.agent.life)
+        self.step()
+
+    def connection_made(self, transport):
+        self.transport = transport
+
+    def error_received(self, failure):
+        self.hub.count("gossip_unsent", detail=failure.strerror)
+
+    def send(self, datagrams):
+        if self.transport and not self.transport.is_closing():
+            for address, data in datagrams:
+                self.transport.sendto(data, address)
+
+    def datagram_received(self, data, address):
+        before = self.agent.refused.total()
+        self.send(self.agent.received(self.hub.clock.now(), time.time(), data, address[:2]))
+        if self.agent.refused.total() > before:
+            self.hub.count("gossip_refused", detail=f"from {address[0]}:{address[1]}")
+
+    def step(self):
+        """All that is due, and the timer for what comes next."""
+        if self.transport.is_closing():
+            return
+        now = self.hub.clock.now()
+        self.agent.observe(now, self.bridge.misses())
+        self.send(self.agent.tick(now, time.time()))
+        self.tell(now)
+        for event, who, what in self.agent.events:
+            self.hub.log.info(f"gossip_{event}", who=who, what=what)
+        self.agent.events.clear()
+        if now >= self.next_status:
+            self.next_status = now + STATUS
+            self.write_status(now)
+        self.hub.clock.at(max(self.agent.due(), now + 1000), self.step)
+
+    def tell(self, now):
+        """What others miss goes to the planner: at once where it is new, then once a cycle."""
+        pooled = self.agent.pooled(now)
+        if pooled and (now >= self.next_told or not self.claimed) or self.claimed and not pooled:
+            self.next_told = now + TOLD
+            self.claimed = bool(pooled)
+            for call in self.bridge.calls(pooled):
+                self.hub.told(call)
+
+    def write_status(self, now):
+        """Replaced whole, so that who reads it never sees half of one. Its failing holds nothing else up."""
+        if not self.section.status:
+            return
+        path = self.section.status
+        try:
+            with open(f"{path}.new", "w", encoding="utf-8") as file:
+                json.dump({"at": round(time.time(), 3), **self.agent.figures(now)}, file)
+            os.replace(f"{path}.new", path)
+            self.unwritten = None
+        except OSError as failure:
+            if self.unwritten != failure.strerror:
+                self.hub.log.warning("gossip_no_status", path=str(path), says=failure.strerror)
+            self.unwritten = failure.strerror
+
+    def follow(self, section):
+        """The operator's file anew: keys and roster change in service. Where it listens does not."""
+        roster, signer = roster_of(section), signer_of(section)
+        self.agent.follow(roster, signer, self.hub.clock.now())
+        kept = [name for name in ("group", "listen", "me", "rate") if getattr(section, name) != getattr(
+            self.section, name)]
+        self.section = section
+        self.hub.log.info("gossip_reloaded", members=len(roster.members), kept=",".join(kept) or None)
+
+    def close(self):
+        if self.transport and not self.transport.is_closing():
+            self.send(self.agent.leave(self.hub.clock.now()))
+            self.transport.close()
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -3,7 +3,7 @@
 Called as `planner = Planner(bootstrap, seed)`, one an instance, then `planner.round(now, arrivals, out)`
 once a batch: `arrivals` are calls in order, each a verb (a method under "What comes in") and its values;
 decisions go straight into `out`. `Bootstrap` and `Writer` stand in cranecleat/interface.py.
-Times are whole microseconds, ids small indices, rates calls a second. The why of it all: docs/design.md."""
+Times are whole microseconds, ids small indices, rates calls a second. Why: docs/design/planner.md."""
 
 import zlib
 from heapq import heappop, heappush
@@ -22,6 +22,7 @@
 PATIENCE, SETTLED = 2, 1.5  # cycles, and a spell: from one drop to the next; until who joined is reported
 NEWCOMERS = 0.25  # part of the calls that may come from proxies that have not settled
 SILENT, QUIET = 8, 3  # answers missing, and spells of reports without one, from who never answers
+SIGN, ONCE = 1.5, 1  # what of these has to be seen here, whatever peers miss
 MOST_SHUT = 0.7  # part of the fleet's size that may be shut out on symptoms
 MEMORY, PRIOR = 40, 10  # answers that an answer time rests on at most, and that its kind's average counts for
 IDLE, FULL = 0.02, 1e6  # a reported load that says nothing of the capacity; calls a second that limit nothing
@@ -66,6 +67,7 @@
         self.served = {}  # zone -> [answered a second, smoothed; when reported]
         self.tries = self.dropped = self.took = self.calls = 0.0  # sums with decay; answer time, of how many
         self.quiet, self.missing, self.shut = 0, 0.0, False  # since its last answer: spells, answers due
+        self.doubt = 0.0  # answers that peers miss
 
     def answering(self):
         return sum(rate for rate, _ in self.served.values())
@@ -232,7 +234,7 @@
         if answered:
             x.took = (x.took * x.calls + took * answered) / (x.calls + answered)
             x.calls = min(x.calls + answered, MEMORY)
-            x.quiet, x.missing = 0, 0.0
+            x.quiet, x.missing, x.told = 0, 0.0, self.now if x.shut else x.told
             x.shut = False
         if load and load[0] > IDLE:
             hold = keep ** 0.25
@@ -257,6 +259,11 @@
                 del self.owed[:i]
                 break
 
+    def doubted(self, b, missing):
+        """Answers that distinct peers miss; they halve each turn in which they are not said again."""
+        if b in self.backends:
+            self.backends[b].doubt = missing
+
     woke = probed = peer_said = slice_given = slice_line = slice_calls = lambda *_: None  # no use
 
     # Health, by symptom
@@ -280,10 +287,28 @@
         for b, x in running.items():
             x.quiet += 1 / self.spell
             x.missing += self.tally[1] * bound * due.get(b, 0.0) / whole
-            if not x.shut and x.missing > SILENT and x.quiet >= QUIET and x.size <= room:
+            alone = x.missing > SILENT and x.quiet >= QUIET
+            # What peers miss shortens the proof. Could do harm where all err alike: hence a sign seen here.
+            proved = alone or self.owes(x) and self.owes(x) + x.doubt > SILENT
+            x.doubt /= 2
+            if not x.shut and proved and x.size <= room:
                 x.shut, room = True, room - x.size
                 self.out.log(f"backend {b} shut out: it never answers")
 
+    def steady(self, x):
+        """Neither cold nor lately back: of others nobody can tell silence from a start."""
+        return self.warmth(x) >= 1.0 and self.now - x.told > self.boot.cold
+
+    def owes(self, x):
+        """Answers missing beyond those of the turn of its last one; 0 before they are a sign of anything."""
+        beyond = x.quiet - 1 / self.spell
+        owed = x.missing * beyond / x.quiet if beyond >= ONCE else 0.0
+        return owed if owed >= SIGN and self.steady(x) else 0.0
+
+    def misses(self):
+        """What peers may be told of backends that run."""
+        return {b: owed for b, x in self.running().items() if (owed := self.owes(x))}
+
     def warmth(self, x):
         """Rule 4: the least part of its capacity that is stated for a cold backend's age."""
         age = max(self.now - x.started, 0) / self.boot.cold if x.started else 1.0
--- /dev/null
+++ b/cranecleat/rehearsal/edge.py
@@ -0,0 +1,125 @@
+"""Proxies, and the channel over which one coordinator's orders reach them: the planner's `Writer` of the emulator."""
+
+from cranecleat.rehearsal.world import SECOND
+
+
+class Proxy:
+    def __init__(self, number, zone, standing):
+        self.number, self.zone, self.home = number, zone, None  # the coordinator that it is joined to
+        self.tables = {}  # route -> {backend: weight}; what it drew at its start until it is bound
+        self.standing, self.out, self.levels = standing, set(), {}
+        self.came = {}  # route -> calls since the last report
+        self.met = {}  # backend -> [tries, losses, microseconds that answers took]
+
+    def lines(self, route):
+        return self.tables.get(route, self.standing)
+
+    def pick(self, route, chance, without=()):
+        """A backend by weight, or None where no line is left."""
+        lines = [(b, w) for b, w in self.lines(route).items() if b not in self.out and b not in without and w > 0]
+        point = chance * sum(w for _, w in lines)
+        for b, weight in lines:
+            point -= weight
+            if point < 0:
+                return b
+        return lines[-1][0] if lines else None
+
+    def apply(self, orders):
+        for what, *values in orders:
+            if what == "table":
+                route, lines = values
+                self.tables[route] = dict(lines)
+            elif what == "line":
+                route, backend, weight = values
+                lines = self.tables.setdefault(route, dict(self.standing))
+                lines[backend] = weight
+                if not weight:
+                    del lines[backend]
+            elif what == "out":
+                (self.out.add if values[1] else self.out.discard)(values[0])
+            else:
+                self.levels[values[0]] = values[1]
+
+
+class Channel:
+    """Sends in order at a pace; `waiting` counts lines as rule 5 does."""
+
+    def __init__(self, world, pace, head, backlog, planner_told):
+        self.world, self.pace, self.head, self.backlog = world, pace, head, backlog
+        self.told, self.free, self.waiting, self.most = planner_told, 0, 0.0, 0.0
+        self.joined, self.tables, self.bound = {}, {}, {}
+        self.throttled = 1.0
+        self.clear()
+
+    def clear(self):
+        self.lines, self.fresh, self.moved, self.set, self.number = [], {}, [], {}, None
+
+    # The planner's Writer
+
+    def line(self, table, backend, weight):
+        lines = self.tables.setdefault(table, {})
+        lines[backend] = weight
+        if not weight:
+            del lines[backend]
+        self.lines.append((table, backend, weight))
+
+    def bind(self, proxy, table, routes):
+        for route in routes:
+            self.bound.setdefault(proxy, {})[route] = table
+            self.fresh.setdefault(proxy, set()).add(route)
+
+    def withdraw(self, backend, out):
+        self.moved.append((backend, out))
+
+    def admit(self, table, routes, level, tries):
+        for route in routes:
+            self.set[route] = level
+
+    def mark(self, number):
+        self.number = number
+
+    def forget(self, backend):
+        """Indices are not used again here."""
+
+    def watch(self):
+        """A watch is always up here; discovery may still be late."""
+
+    def wake(self, at, number):
+        self.world.at(at, self.told, ("woke", number))
+
+    def log(self, text):
+        """What the planner says is told by its state in the results."""
+
+    # Out
+
+    def leave(self, proxy):
+        self.joined.pop(proxy, None)
+        self.bound.pop(proxy, None)
+
+    def flush(self):
+        """The round's messages, one a proxy concerned."""
+        for number, proxy in self.joined.items():
+            bound, fresh = self.bound.get(number, {}), self.fresh.get(number, ())
+            orders = [("table", route, self.tables.get(bound[route], {})) for route in fresh]
+            cost = sum(1 + len(lines) for _, _, lines in orders)
+            orders += [("line", route, b, w) for table, b, w in self.lines for route, mine in bound.items()
+                       if mine == table and route not in fresh]
+            orders += [("out", b, out) for b, out in self.moved]
+            orders += [("level", route, level) for route, level in self.set.items()]
+            cost += sum(order[0] != "table" for order in orders)
+            if orders:
+                self.send(proxy, orders, cost + self.head + 1, self.number)
+        self.clear()
+
+    def send(self, proxy, orders, cost, number):
+        self.waiting += cost
+        self.most = max(self.most, self.waiting)
+        copied = [(o[0], o[1], dict(o[2])) if o[0] == "table" else o for o in orders]
+        self.free = max(self.free, self.world.now) + cost / (self.pace * self.throttled) * SECOND
+        self.world.at(round(self.free), self.arrive, proxy, copied, cost, number)
+
+    def arrive(self, proxy, orders, cost, number):
+        self.waiting -= cost
+        if self.joined.get(proxy.number) is proxy:
+            proxy.apply(orders)
+            self.world.after(SECOND // 100, self.told, ("applied", proxy.number, number))
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -12,13 +12,13 @@
 from cranecleat.service.clock import Clock
 from cranecleat.service.coordinator import Coordinator
 from cranecleat.service.logs import open_log
-from cranecleat.service.start import read, reread
+from cranecleat.service.start import operator, read, reread
 
 STOPPED, FAILED, CANNOT_START = 0, 1, 2  # exit codes
 
 
-async def serve(station, log):
-    """Runs until a signal or a failure of the planner; returns the exit code."""
+async def serve(station, log, switched=None):
+    """Runs until a signal or a failure of the planner; returns the exit code. `switched`: the operator's file, read."""
     loop, where = asyncio.get_running_loop(), ":".join(map(str, station.listen))
     ended = loop.create_future()
 
@@ -36,7 +36,10 @@
 
     def reloaded():
         try:
-            coordinator.follow(reread(os.environ))
+            station, switched = reread(os.environ), operator(os.environ, coordinator.station.name)
+            coordinator.follow(station)
+            if courier and switched and switched.gossip:
+                courier.follow(switched.gossip)
         except Malformed as wrong:
             log.error("reload_failed", says=str(wrong))
 
@@ -47,6 +50,11 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopped, number)
     coordinator = Coordinator(station, Clock(loop, time.time()), log, failed)
+    courier = None
+    if switched and switched.gossip:
+        from cranecleat.gossip.shell import Courier  # with its keys it costs some MB: only where it is switched on
+
+        courier = Courier(coordinator, switched.gossip)
     loop.add_signal_handler(signal.SIGHUP, reloaded)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     coordinator.start()
@@ -55,10 +63,14 @@
     except OSError as failure:
         raise Malformed(f"cannot listen on {where}: {failure.strerror}") from None
     coordinator.registry.dial()
+    if courier:
+        await courier.open()
     gc.freeze()
     log.info("serving", listen=where, backends=len(coordinator.names.index))
     code = await ended
     listener.close()
+    if courier:
+        courier.close()
     coordinator.stop()
     await asyncio.sleep(0)  # lets the connections log their ends
     log.info("stopped", code=code, longest_round_us=coordinator.longest)
@@ -69,7 +81,7 @@
     signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # one that comes this early waits until it can be heard
     try:
         station = read(os.environ)
-        return asyncio.run(serve(station, open_log(station.name)))
+        return asyncio.run(serve(station, open_log(station.name), operator(os.environ, station.name)))
     except Malformed as wrong:
         print(f"cranecleat: {wrong}", file=sys.stderr)
         return CANNOT_START
--- a/cranecleat/service/start.py
+++ b/cranecleat/service/start.py
@@ -90,3 +90,18 @@
     """The station that the file describes now. A variable cannot be changed from outside while running: where one
     named discovery at the start, the file does from now on."""
     return read({name: value for name, value in variables.items() if name != "BALANCER_DISCOVERY"})
+
+
+def operator(variables, me):
+    """What the operator's file switches on, if `CRANECLEAT_OPERATOR` names one; None without. Its mistakes are told one
+    a line. Nothing of it is imported where the variable is not set."""
+    path = variables.get("CRANECLEAT_OPERATOR")
+    if not path:
+        return None
+    from cranecleat.operator.document import Mistaken
+    from cranecleat.operator.file import read as read_file
+
+    try:
+        return read_file(path, me)
+    except Mistaken as wrong:
+        raise Malformed("\n".join(map(str, wrong.mistakes))) from None
