--- a/cranecleat/gossip/claims.py
+++ b/cranecleat/gossip/claims.py
@@ -61,8 +61,8 @@
 
     def pooled(self, now, counted, liars):
         """Answers that the others miss, by backend's key: the sum of what they claim without the `liars` largest
-        claims, so that as many members may say what they like, times the part of the rest that claims anything, as
-        whoever says nothing of a backend has answers from it. `counted`: whose statements count."""
+        claims, so that as many members may say what they like, times how far the part of the rest that claims anything
+        is over a half, as whoever says nothing of a backend has answers from it. `counted`: whose statements count."""
         claims, counted = {}, set(counted)
         for origin, held, age in self.current(now):
             if origin in counted:
@@ -70,8 +70,12 @@
                     old = age + tenths * TENTH
                     if old < LASTS:
                         claims.setdefault(key, []).append(min(missing / PARTS, MOST) * 0.5 ** (old / HALF))
-        return {key: sum(sorted(each)[: len(each) - liars]) * (len(each) - liars) / (len(counted) - liars)
-                for key, each in claims.items() if len(each) > liars}
+        pooled = {}
+        for key, each in claims.items():
+            part = 2 * (len(each) - liars) / max(len(counted) - liars, 1) - 1
+            if part > 0:
+                pooled[key] = sum(sorted(each)[: len(each) - liars]) * part
+        return pooled
 
     def to_tell(self, now, limit):
         """The statement that is worth a datagram most: of those made lately (as many others may never have been told),
