Files as a transport: tables, orders and reports through files that are replaced whole

Change: cranecleat/files/: format (text, checksums, any names), ledger (the planner's Writer for files: bodies by content, one file of shared tables, one of orders a proxy; steps in a safe order; marks answered by what is in force; single numbered orders to try a call again), intake (sums since a life began), view (a reader never goes back), choice (stream or files a proxy, with hysteresis), recover, disk (whole or not at all, lock and fence), front, follow; `files` in the operator's file; cranecleat files check, show, follow. A stream whose proxy is served by files stands aside.

Tests cause: files replaced twice between any two calls of a reader; a writer killed, a full disk and a failed sync at every step; files cut at every byte and with every bit flipped; two writers, also where the lock does not reach; an older file put back; links, odd names, a folder that is away; a daemon killed, and going over and back, with real processes.

--- a/cranecleat/commands/root.py
+++ b/cranecleat/commands/root.py
@@ -4,12 +4,13 @@
 
 import typer
 
-from cranecleat.commands import gossip, keys, rehearse
+from cranecleat.commands import files, gossip, keys, rehearse
 
 app = typer.Typer(no_args_is_help=True, add_completion=False, rich_markup_mode=None, pretty_exceptions_enable=False,
                   help="A central planner that lays the tables of a layer of plain proxies.")
 app.add_typer(keys.app, name="keys")
 app.add_typer(gossip.app, name="gossip")
+app.add_typer(files.app, name="files")
 app.add_typer(rehearse.app, name="rehearse")
 
 
@@ -43,7 +44,7 @@
         for mistake in wrong.mistakes:
             print(mistake, file=sys.stderr)
         raise typer.Exit(2) from None
-    on = [section for section in ("gossip",) if getattr(switched, section)]
+    on = [section for section in ("gossip", "files") if getattr(switched, section)]
     print(f"{file}: no mistake; switched on: {', '.join(on) or 'nothing'}")
 
 
--- a/cranecleat/operator/file.py
+++ b/cranecleat/operator/file.py
@@ -3,10 +3,12 @@
 from dataclasses import dataclass
 from pathlib import Path
 
-from cranecleat.operator.document import Mistake, Mistaken, Reader, address, nodes_of, size, text
+from cranecleat.operator.document import Mistake, Mistaken, Reader, address, nodes_of, size, span, text
 
-SECTIONS = ("gossip",)
+SECTIONS = ("gossip", "files")
 GOSSIP = ("group", "listen", "key", "rate", "status", "member")
+FILES = ("folder", "sync", "poll", "lose", "hold")
+POLL = 100_000  # microseconds: a tenth of a cycle, and a thousandth of a core for 1,000 reports that have not changed
 SLOWEST, FASTEST = 2 << 10, 1 << 20  # bytes a second: a probe and its answers; far more than rumours can use
 
 
@@ -21,12 +23,22 @@
     members: tuple
 
 
+@dataclass(frozen=True, slots=True)
+class Files:
+    folder: Path
+    sync: str  # one of disk.SYNCS
+    poll: int  # microseconds from one look at what comes back to the next
+    lose: int  # without a stream before a proxy is served through files
+    hold: int  # with a stream again before it goes back
+
+
 @dataclass(frozen=True, slots=True)
 class Operator:
     """What the operator's file says; a section that is not there is None, and what it switches on is off."""
 
     path: Path
     gossip: Gossip | None = None
+    files: Files | None = None
 
 
 def read(path, me=None):
@@ -49,9 +61,32 @@
         elif node.name in SECTIONS:
             found[node.name] = node
     gossip = gossip_of(reader, found["gossip"], path.parent, me) if "gossip" in found else None
+    files = files_of(reader, found["files"], path.parent) if "files" in found else None
     if mistakes:
         raise Mistaken(sorted(mistakes, key=lambda one: (one.line, one.column)))
-    return Operator(path, gossip)
+    return Operator(path, gossip, files)
+
+
+def files_of(reader, node, folder):
+    from cranecleat.files.choice import HOLD, LOSE
+    from cranecleat.files.disk import SYNCS
+
+    def sync(value):
+        if value not in SYNCS:
+            raise ValueError("no way of syncing")
+        return value
+
+    reader.known(node, node.children, FILES, "'files'")
+    place = reader.value(reader.one(node, "folder"), text, "the path of a folder")
+    how = reader.value(reader.one(node, "sync", needed=False), sync, "one of " + ", ".join(SYNCS))
+    spans = {"poll": (POLL, 10_000, 10_000_000), "lose": (LOSE, 100_000, 60_000_000), "hold": (HOLD, 0, 3_600_000_000)}
+    for called, (usual, least, most) in spans.items():
+        line = reader.one(node, called, needed=False)
+        told = reader.value(line, span, 'a time, such as "500ms"')
+        if told is not None and not least <= told <= most:
+            reader.wrong(line, f"{called} of {told / 1e6:g} s", f"it may be from {least / 1e6:g} to {most / 1e6:g} s")
+        spans[called] = usual if told is None else told
+    return None if reader.mistakes else Files(folder / place, how or "data", **spans)
 
 
 def gossip_of(reader, node, folder, me):
--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -201,4 +201,6 @@
             raise Spoilt(Reason.OUT_OF_PLACE, f"{words.kind} on a stream")
         if self.hub.reader.proxy(words) != self.number:
             raise Spoilt(Reason.OUT_OF_PLACE, f"{words.kind} for another proxy")
-        self.hub.told(getattr(self.hub.reader, words.kind)(words))
+        call = getattr(self.hub.reader, words.kind)(words)
+        if not self.hub.waits(self):
+            self.hub.told(call)
--- a/cranecleat/rehearsal/day.py
+++ b/cranecleat/rehearsal/day.py
@@ -7,13 +7,15 @@
 from dataclasses import dataclass, field
 from functools import partial
 
+from cranecleat.files.choice import LOSE
+from cranecleat.files.front import Both
 from cranecleat.gossip.agent import RATE, Agent
 from cranecleat.gossip.bridge import Bridge
 from cranecleat.gossip.roster import Member, Roster
 from cranecleat.interface import Bootstrap, Route
 from cranecleat.policy import Planner
 from cranecleat.rehearsal.audit import Audit
-from cranecleat.rehearsal.edge import Channel, Proxy
+from cranecleat.rehearsal.edge import Channel, Folder, Proxy
 from cranecleat.rehearsal.fleet import Backend
 from cranecleat.rehearsal.network import Network, Token, TokenChecker
 from cranecleat.rehearsal.world import SECOND, Draws, World
@@ -59,6 +61,7 @@
     liars: int = 0
     lost: float = 0.0
     doubled: float = 0.0
+    files: bool = False  # all proxies through files from the start; `over` and `back` change it in service
     faults: list = field(default_factory=list)  # (when, name of a method of Day, values)
 
 
@@ -77,6 +80,8 @@
         self.ids = {b.index: f"s-{b.index}" for b in day.fleet}
         self.planner = Planner(day.boot, f"{day.s.seed}:{number}")
         self.channel = Channel(day.world, 4000.0, day.boot.head, day.boot.backlog, self.told)
+        self.folder = Folder(day.world, self, tuple(f"r{i}" for i in range(len(day.s.works))), self.told, number)
+        self.writer = Both(self.channel, self.folder)
         self.agent = self.bridge = None
         self.shut = {}  # backend -> when it was shut out
         self.told(("listed", "whole", [self.entry(b) for b in day.fleet]))
@@ -92,8 +97,9 @@
 
     def round(self):
         self.waiting, calls, self.arrivals = False, self.arrivals, []
-        self.planner.round(self.day.world.now, calls, self.channel)
+        self.planner.round(self.day.world.now, calls, self.writer)
         self.channel.flush()
+        self.folder.flush()
         self.day.audit.channel(self.channel, self.name)
         shut = {b for b, x in self.planner.backends.items() if x.shut}
         for b in shut - self.shut.keys():
@@ -102,10 +108,13 @@
         for b in self.shut.keys() - shut:
             del self.shut[b]
 
+    def joined(self):
+        return [*self.channel.joined.values(), *self.folder.joined.values()]
+
     def report(self):
         """Sums since each line was last given: late, at most `lines` a cycle, those that waited longest first."""
         day, now = self.day, self.day.world.now
-        for proxy in self.channel.joined.values():
+        for proxy in self.joined():
             for route, calls in proxy.came.items():
                 self.due.setdefault(("came", proxy.number, route), [now - SECOND, 0])[1] += calls
             for b, met in proxy.met.items():
@@ -248,6 +257,32 @@
         elif x.state == "running" and not x.fallen and self.world.now >= self.s.warm_up:
             self.false.append((self.world.now, c.name, b))
 
+    def over(self):
+        """All streams end for good: files take over once the choice of transport has waited."""
+        for c in self.coordinators:
+            for proxy in list(c.channel.joined.values()):
+                c.channel.leave(proxy.number)
+                c.told(("left", proxy.number))
+                self.world.after(LOSE + SECOND // 10 * self.coin(), self.through_files, c, proxy, False)
+
+    def back(self):
+        """All streams stand again and have for long enough."""
+        for c in self.coordinators:
+            for proxy in list(c.folder.joined.values()):
+                c.folder.leave(proxy.number)
+                c.told(("left", proxy.number))
+                self.world.after(SECOND // 10 * self.coin(), self.through_stream, c, proxy, False)
+
+    def through_files(self, c, proxy, standing):
+        c.folder.join(proxy)
+        c.told(("joined", proxy.number, proxy.zone, self.s.calls / len(self.proxies), standing, 0))
+
+    def through_stream(self, c, proxy, standing):
+        """As on the socket, what it may still shut out is let back with its first binding."""
+        proxy.out &= {b for b, x in c.planner.backends.items() if x.out}
+        c.channel.joined[proxy.number] = proxy
+        c.told(("joined", proxy.number, proxy.zone, self.s.calls / len(self.proxies), standing, 0))
+
     # Calls
 
     def arrive(self):
@@ -330,9 +365,7 @@
         for p in self.proxies:
             c = self.coordinators[p.number % len(self.coordinators)]
             p.home = c
-            c.channel.joined[p.number] = p
-            typical = self.s.calls / len(self.proxies)
-            c.told(("joined", p.number, p.zone, typical, True))
+            (self.through_files if self.s.files else self.through_stream)(c, p, True)
         for c in self.coordinators:
             self.world.after(SECOND * (1 + c.number / len(self.coordinators)), c.report)
         for when, what, *values in self.s.faults:
@@ -350,6 +383,18 @@
             "bytes_a_second": round(self.network.bytes / (self.s.length / SECOND) / len(self.coordinators))}
 
 
+def surge(seed, coordinators=2, length=60 * SECOND, files=False, over=False, **more):
+    """A day at 0.8 of the fleet's work with a release in it: backends drain, go and come back cold, one after another.
+    `over`: streams end at 25 s and stand again at 42 s."""
+    backends, mean = 24, 0.7 * 0.10 + 0.3 * 0.15
+    faults = [(25 * SECOND, "over"), (42 * SECOND, "back")] if over else []
+    for i in range(6):
+        at = (18 + 4 * i) * SECOND
+        faults += [(at, "drain", 2 * i), (at + 3 * SECOND, "kill", 2 * i), (at + 6 * SECOND, "start", 2 * i)]
+    return Scenario(seed=seed, coordinators=coordinators, length=length, proxies=24, backends=backends, files=files,
+                    calls=0.8 * backends * 3 * 0.95 / mean, lines=200, faults=faults, **more)
+
+
 def swallowing(seed, coordinators, length=60 * SECOND, gossip=False, liars=0, lost=0.0, load=0.55, **more):
     """A day on which one backend swallows calls for good and one for 12 s, one dies and comes back cold, one drains.
     `load`: the part of the fleet's work that is asked for."""
--- a/cranecleat/rehearsal/edge.py
+++ b/cranecleat/rehearsal/edge.py
@@ -1,5 +1,9 @@
-"""Proxies, and the channel over which one coordinator's orders reach them: the planner's `Writer` of the emulator."""
+"""Proxies, and what one coordinator's orders reach them over: a channel of streams or a folder of files. Both are the
+planner's `Writer`; the folder is the real ledger and the real readers' views on a disk that is a dict."""
 
+from cranecleat.files.format import read_body, read_orders, read_tables
+from cranecleat.files.ledger import Ledger
+from cranecleat.files.view import View
 from cranecleat.rehearsal.world import SECOND
 
 
@@ -76,7 +80,10 @@
             self.set[route] = level
 
     def mark(self, number):
-        self.number = number
+        """Returns who gets a message of this round."""
+        self.number, tables = number, {table for table, _, _ in self.lines}
+        return {p for p in self.joined if self.moved or self.set or p in self.fresh or
+                tables & set(self.bound.get(p, {}).values())}
 
     def forget(self, backend):
         """Indices are not used again here."""
@@ -123,3 +130,67 @@
         if self.joined.get(proxy.number) is proxy:
             proxy.apply(orders)
             self.world.after(SECOND // 100, self.told, ("applied", proxy.number, number))
+
+
+class Folder:
+    """Proxies served through files: each looks every 50 to 150 ms and says what it has in force with its next beat."""
+
+    LOOK, BEAT = SECOND // 10, SECOND // 4
+
+    def __init__(self, world, names, routes, planner_told, number):
+        self.world, self.told, self.chance = world, planner_told, world.chance(f"folder {number}")
+        self.ledger = Ledger(names, routes, 1 + number, 1)
+        self.routes, self.index = routes, {}
+        self.stands, self.readers, self.most = {}, {}, 0
+        for put in ("line", "bind", "withdraw", "admit", "mark", "forget"):
+            setattr(self, put, getattr(self.ledger, put))
+
+    @property
+    def seats(self):
+        return self.ledger.seats
+
+    @property
+    def joined(self):
+        return {number: proxy for number, (proxy, _) in self.readers.items()}
+
+    def join(self, proxy):
+        self.ledger.join(proxy.number)
+        self.readers[proxy.number] = proxy, View(proxy.number)
+        self.world.after(self.LOOK * self.chance.random(), self.look, proxy, self.readers[proxy.number][1])
+
+    def leave(self, number):
+        self.ledger.leave(number)
+        self.readers.pop(number, None)
+
+    def flush(self):
+        if not self.ledger.due():
+            return
+        for step in [*self.ledger.steps(), *self.ledger.done(self.world.now)]:
+            if step[0] == "drop":
+                self.stands.pop(step[1], None)
+            else:
+                self.ledger.written(step)
+                self.stands[step[1] if len(step) > 2 else "tables"] = step[-1]
+        self.index = {called: b for b, called in self.ledger.names.ids.items()}
+
+    def look(self, proxy, view):
+        if self.readers.get(proxy.number, (None, None))[1] is not view:
+            return
+        if proxy.number in self.stands:
+            orders, tables = read_orders(self.stands[proxy.number]), read_tables(self.stands["tables"])
+            before = view.seen
+            view.offer(orders, tables, lambda called: read_body(self.stands[called], called))
+            if view.seen != before:
+                self.obey(proxy, view)
+                self.world.after(self.BEAT * self.chance.random(), self.applied, proxy.number, view.force.applied)
+        self.world.after(self.LOOK * (0.5 + self.chance.random()), self.look, proxy, view)
+
+    def obey(self, proxy, view):
+        for route, lines in view.force.lines.items():
+            proxy.tables[self.routes.index(route)] = {self.index[b]: w for b, w in lines.items()}
+        proxy.out = {self.index[b] for b in view.force.out}
+        proxy.levels = {self.routes.index(route): level for route, (level, _) in view.force.levels.items()}
+
+    def applied(self, number, generations):
+        for mark in self.ledger.applied(number, *generations, 0, self.world.now):
+            self.told(("applied", number, mark))
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -30,8 +30,13 @@
         self.registry = Registry(self, station.discovery, station.known[0], station.seed)
         self.planner = Planner(station.bootstrap, station.seed)
         self.streams = Streams(self.names, station.routes, self.wake, self.watch, self.says)
+        self.files, self.writer = None, self.streams  # the files transport, where it is on: see `through_files`
         self.arrivals, self.waiting, self.last, self.longest = [], False, 0, 0
 
+    def through_files(self, front, writer):
+        """Some proxies are served through files from now on; before `start`, as both have to know all tables."""
+        self.files, self.writer = front, writer
+
     def start(self):
         """The planner knows the list as it was last had before anybody is answered."""
         self.waiting = True  # for the round right below
@@ -65,6 +70,10 @@
 
     def joined(self, connection, zone, typical, standing):
         self.strangers.pop(connection, None)
+        if not self.files or self.files.stream_came(connection, zone, typical, standing):
+            self.stream_joined(connection, zone, typical, standing)
+
+    def stream_joined(self, connection, zone, typical, standing):
         old, brought = self.streams.join(connection.number, connection, typical, standing)
         self.reader.typical = self.streams.typical()
         if old:
@@ -73,9 +82,18 @@
         self.told(("joined", connection.number, zone, typical, standing, brought))
 
     def lost(self, connection):
-        if connection.number is not None and self.streams.leave(connection.number, connection):
+        if connection.number is None:
+            return
+        served = self.streams.leave(connection.number, connection)
+        if served:
             self.reader.typical = self.streams.typical()
             self.told(("left", connection.number))
+        if self.files:
+            self.files.stream_went(connection, served)
+
+    def waits(self, connection):
+        """Whether a stream stands aside, as its proxy is served through files: what it says of orders counts there."""
+        return self.files is not None and connection.number in self.files.parked
 
     # Room for those that need no number: they may come in hundreds, or be left open by a cut
 
@@ -157,13 +175,15 @@
             return
         calls, self.arrivals, self.last = self.arrivals, [], self.clock.now()
         try:
-            self.planner.round(self.last, calls, self.streams)
+            self.planner.round(self.last, calls, self.writer)
             messages = self.streams.messages()
         except Exception as failure:  # a planner that has failed would lie from now on
             self.failed(failure)
             return
         for connection, message in messages:
             connection.write(message)
+        if self.files:
+            self.files.publish()
         self.took(self.clock.now() - self.last)
 
     def took(self, time):
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -55,6 +55,11 @@
         from cranecleat.gossip.shell import Courier  # with its keys it costs some MB: only where it is switched on
 
         courier = Courier(coordinator, switched.gossip)
+    if switched and switched.files:
+        from cranecleat.files.front import Both, Front
+
+        front = Front(coordinator, switched.files)
+        coordinator.through_files(front, Both(coordinator.streams, front.ledger))
     loop.add_signal_handler(signal.SIGHUP, reloaded)
     signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
     coordinator.start()
@@ -65,12 +70,14 @@
     coordinator.registry.dial()
     if courier:
         await courier.open()
+    if coordinator.files:
+        coordinator.files.poll()
     gc.freeze()
     log.info("serving", listen=where, backends=len(coordinator.names.index))
     code = await ended
     listener.close()
-    if courier:
-        courier.close()
+    for part in filter(None, (courier, coordinator.files)):
+        part.close()
     coordinator.stop()
     await asyncio.sleep(0)  # lets the connections log their ends
     log.info("stopped", code=code, longest_round_us=coordinator.longest)
