Rounds whose cost follows what changed: exact sums, indexes, messages for users only

Need: at 120 backends and 640 proxies the planner and Streams took 1.75 s of CPU for each second, growing with the square. Profile: over half in demands(), summed anew over all proxies at each report; then binding and bindings tried for all that wait, users of a table looked up for each line, and Streams.parts for every proxy in each round.

Change: cranecleat/tallies/ (demand by route and zone as whole numbers, so exact in any order; users of tables, who waits); what a line costs all users is one figure a table and round; joinings scale a factor a zone, not all backends; no binding is tried while the least of them does not fit; Streams writes to users of what changed, and looks at shut-outs only where a round moves any.

--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -8,8 +8,9 @@
 
 
 class Stream:
-    def __init__(self, connection, typical, ever, brought):
+    def __init__(self, connection, typical, ever, brought, place):
         self.connection, self.typical = connection, typical  # its calls a second, as it said
+        self.place = place  # in the order of joining, in which messages go out
         self.bound = {}  # route -> table
         self.shut, self.ever = set(), ever  # backends shut out on this stream, and on any of the proxy's
         self.brought = brought  # those that it may still shut out from earlier ones
@@ -21,6 +22,7 @@
     def __init__(self, names, routes, wake, watch, log):
         self.names, self.routes = names, routes  # backends' names; routes' names
         self.wake, self.watch, self.log = wake, watch, log
+        self.places, self.users = 0, {}  # streams so far; table -> proxies with a route bound to it
         self.joined, self.ever = {}, {}  # proxy -> stream; proxy -> backends that it was ever told to shut out
         self.tables, self.out = {}, set()  # table -> {backend: weight}; backends withdrawn
         self.levels = {}  # (table or None for all, route) -> (level, tries)
@@ -29,7 +31,7 @@
     def clear(self):
         """Forgets what this round has changed."""
         self.lines, self.fresh, self.moved, self.admitted = {}, {}, set(), set()
-        self.stamp, self.ready, self.made = None, [], {}
+        self.stamp, self.ready, self.made, self.held = None, [], {}, {}
 
     # Who is joined
 
@@ -42,7 +44,11 @@
         one: it may shut out anything."""
         old, ever = self.joined.get(proxy), self.ever.setdefault(proxy, set())
         brought = set(ever) if standing else set(self.names.index.values())
-        self.joined[proxy] = Stream(connection, typical, ever, brought)
+        if old:
+            self.unbind(proxy, old)
+        self.places += 1
+        self.joined.pop(proxy, None)  # it is the last to have joined
+        self.joined[proxy] = Stream(connection, typical, ever, brought, self.places)
         return old, len(brought - self.out)  # what is withdrawn here is not let back
 
     def leave(self, proxy, connection):
@@ -50,9 +56,14 @@
         stream = self.joined.get(proxy)
         current = stream is not None and stream.connection is connection
         if current:
+            self.unbind(proxy, stream)
             del self.joined[proxy]
         return current
 
+    def unbind(self, proxy, stream):
+        for table in set(stream.bound.values()):
+            self.users[table].discard(proxy)
+
     # What the planner decides
 
     def line(self, table, backend, weight):
@@ -64,8 +75,12 @@
 
     def bind(self, proxy, table, routes):
         if proxy in self.joined:
+            bound = self.joined[proxy].bound
             for route in routes:
-                self.joined[proxy].bound[route] = table
+                before, bound[route] = bound.get(route), table
+                if before is not None and before not in bound.values():
+                    self.users[before].discard(proxy)
+                self.users.setdefault(table, set()).add(proxy)
                 self.fresh.setdefault(proxy, set()).add(route)
 
     def withdraw(self, backend, out):
@@ -99,13 +114,24 @@
         return [message for _, *message in ready]
 
     def written(self):
-        for proxy, stream in self.joined.items():
+        self.shuts = bool(self.moved) or any(b in self.out for lines in self.lines.values() for b in lines)
+        for proxy in self.concerned():
+            stream = self.joined[proxy]
             parts = self.parts(stream, self.fresh.get(proxy, ()))
             if parts:
                 if self.stamp is not None:
                     parts.append(self.once(assign, stamp=self.stamp))
                 yield proxy, stream.connection, self.once(join, tuple(parts))
 
+    def concerned(self):
+        """Whom this round may have something for, in the order of joining: all, or users of what has changed."""
+        if self.moved or any(table is None for table, _ in self.admitted):
+            return list(self.joined)
+        some = {p for p in self.fresh if p in self.joined}
+        for table in (*self.lines, *(table for table, _ in self.admitted)):
+            some |= self.users.get(table, set())
+        return sorted(some, key=lambda p: self.joined[p].place)
+
     def once(self, make, *values, **named):
         """The same bytes are made once a round, however many proxies they go to."""
         key = make, values, tuple(named.items())
@@ -126,7 +152,7 @@
             if route in fresh or {(None, route), (table, route)} & self.admitted:
                 levels.setdefault(self.level(table, route), []).append(route)
         parts += [self.once(assign, self.named(routes), level=level) for level, routes in levels.items() if level]
-        return parts + self.shutting(stream, bool(fresh))
+        return parts + (self.shutting(stream, bool(fresh)) if fresh or self.shuts else [])
 
     def rows(self, table, routes, new):
         lines = self.tables.get(table, {}) if new else self.lines[table]
@@ -142,7 +168,10 @@
 
     def shutting(self, stream, bound):
         """A proxy that was bound keeps to what is withdrawn here: the rest that it may hold is let back."""
-        held = {b for table in set(stream.bound.values()) for b in self.tables.get(table, ())}
+        tables = frozenset(stream.bound.values())
+        if tables not in self.held:
+            self.held[tables] = {b for table in tables for b in self.tables.get(table, ())}
+        held = self.held[tables]
         loose = len(stream.bound) < len(self.routes)  # for some routes its lines are not known
         out = sorted(b for b in self.out - stream.shut if b in held or loose and b in self.moved)
         back = sorted(b for b in (stream.shut | stream.brought) - self.out if bound or b in self.moved)
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -6,7 +6,10 @@
 Times are whole microseconds, ids small indices, rates calls a second. Why: docs/design/planner.md."""
 
 import zlib
-from heapq import heappop, heappush
+from heapq import heapify, heappop, heappush
+
+from cranecleat.tallies.demand import Demand
+from cranecleat.tallies.users import Users
 
 TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
 TARGET = 0.65  # assumed load where none is reported
@@ -64,21 +67,21 @@
 
     def forget(self):
         self.busy = self.rate = self.heard = 0.0  # its reports, decaying: cores busy, calls a second, count
-        self.served = {}  # zone -> [answered a second, smoothed; when reported]
+        self.served = {}  # zone -> [answered a second, smoothed, over the zone's pace; when reported]
         self.tries = self.dropped = self.took = self.calls = 0.0  # sums with decay; answer time, of how many
         self.quiet, self.missing, self.shut = 0, 0.0, False  # since its last answer: spells, answers due
         self.doubt = 0.0  # answers that peers miss
 
-    def answering(self):
-        return sum(rate for rate, _ in self.served.values())
+    def answering(self, paces):
+        return sum(rate * paces.get(zone, 1.0) for zone, (rate, _) in self.served.items())
 
 
 class Proxy:
-    def __init__(self, zone, typical, now, standing, brought):
-        self.zone, self.typical, self.since = zone, typical, now
+    def __init__(self, number, zone, typical, now, standing, brought):
+        self.number, self.zone, self.typical, self.since = number, zone, typical, now
         self.standing, self.brought = standing, brought  # only what it drew at its start; others' withdrawals
         self.usage, self.bound, self.sheltered = {}, set(), False  # route -> calls a second; tables
-        self.cost, self.sent = 0, []  # lines of this round's message; when counted ones were written
+        self.cost, self.sent = 0, []  # of this round's message, with its head; when counted ones were written
 
     def calls(self):
         return sum(self.usage.values()) if self.usage else self.typical
@@ -88,6 +91,9 @@
     def __init__(self, bootstrap, seed):
         self.boot, self.seed, self.draws, self.head = bootstrap, seed, 0, bootstrap.head + 1  # with its mark
         self.backends, self.proxies = {}, {}
+        self.demand, self.users = Demand(len(bootstrap.routes)), Users(len(bootstrap.routes))
+        self.paces = {}  # zone -> factor of what its proxies are said to have served
+        self.charged, self.spent = {}, {}  # of a round: who gets a message; table -> lines to all users
         self.tables, self.levels = {}, {}  # table -> {backend: weight}, route -> level: as sent
         self.theta = {}  # table -> {backend: multiplier}
         self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
@@ -176,7 +182,9 @@
 
     def joined(self, p, zone, typical, standing, brought=0):
         self.left(p)
-        self.proxies[p] = Proxy(zone, typical, self.now, standing, brought)
+        typical = self.demand.join(p, zone, typical, self.now)
+        self.proxies[p] = Proxy(p, zone, typical, self.now, standing, brought)
+        self.users.join(p, self.proxies[p])
         self.rebase(zone, typical)
         if not self.repeating:
             self.repeating = True
@@ -185,15 +193,12 @@
     def repeat(self):
         """Rule 3: who has come and still waits for a table may hold lines of what went meanwhile."""
         self.repeating = False
-        if any(self.waits(p) for p in self.proxies.values()):
+        if self.users.waiting:
             for b in self.lately() - self.unsaid:
                 self.backends[b].told = self.now
                 self.unsaid.add(b)
                 self.say_at, self.changed = self.now, True
 
-    def waits(self, proxy):
-        return len(proxy.bound) < len(self.boot.routes)
-
     def lately(self):
         """What is withdrawn, but for what went so long ago that no table should still name it."""
         since = self.now - LATELY * self.boot.grace
@@ -204,17 +209,20 @@
         if proxy:
             for _, lines in self.owed:
                 self.queue -= lines.pop(p, 0.0)
+            self.users.leave(p, proxy)
+            self.demand.leave(p)
             self.rebase(proxy.zone, -proxy.calls())
 
     def rebase(self, zone, change):
         """What the joined proxies use moves with them. Could do harm where typical rates were far off."""
-        whole = sum(p.calls() for p in self.proxies.values())
+        whole, zoned = self.demand.all(), self.demand.in_zone(zone)
         if whole > 0 and whole > change:
             self.scale(whole / (whole - change))
-        zoned = sum(p.calls() for p in self.proxies.values() if p.zone == zone)
-        for x in self.backends.values():
-            if zone in x.served and zoned > change:
-                x.served[zone][0] *= zoned / (zoned - change)
+        if zoned > max(change, 0.0):
+            self.paces[zone] = self.paces.get(zone, 1.0) * zoned / (zoned - change)
+        elif zoned > change:  # nobody is left there
+            for x in self.backends.values():
+                x.served.get(zone, [0.0])[0] = 0.0
 
     def scale(self, part):
         self.fleet = self.fleet and self.fleet * part
@@ -225,7 +233,7 @@
         if x is None or x.state == "gone" or tries <= 0 or covers <= 0:
             return
         answered, keep = max(tries - dropped, 0), 0.5 ** (covers / self.boot.cycle)
-        rate = answered * 1e6 / covers
+        rate = answered * 1e6 / covers / self.paces.get(zone, 1.0)
         fresh = 1.0 - 0.2 ** (covers / self.boot.cycle)  # as demand is, which it is held against
         x.served[zone] = [rate * fresh + x.served.get(zone, [rate])[0] * (1.0 - fresh), self.now]
         x.tries, x.dropped = keep * x.tries + tries, keep * x.dropped + dropped
@@ -247,7 +255,7 @@
             return
         keep, demands = 0.2 ** (covers / self.boot.cycle), self.demands()
         known = proxy.usage.get(route, proxy.typical * demands[route] / max(sum(demands), 1e-9))
-        proxy.usage[route] = keep * known + (1 - keep) * calls * 1e6 / covers
+        proxy.usage[route] = self.demand.report(p, route, keep * known + (1 - keep) * calls * 1e6 / covers)
         # All that waits for reports counts in spells, as a line missing from a turn is the usual case.
         self.spell += (max(covers / self.boot.cycle, 1.0) - self.spell) / (4 * len(self.proxies))
 
@@ -282,7 +290,7 @@
             for b, w in lines.items():
                 due[b] = due.get(b, 0.0) + demands[table % len(demands)] * w / max(total, 1e-9)
         whole = sum(due[b] for b in due if b in running) or 1.0
-        bound = sum(bool(p.bound) for p in self.proxies.values()) / max(len(self.proxies), 1)
+        bound = (len(self.proxies) - len(self.users.bare)) / max(len(self.proxies), 1)
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
         for b, x in running.items():
             x.quiet += 1 / self.spell
@@ -318,11 +326,10 @@
 
     def demands(self):
         """Calls a second by route; what is not heard yet of a newcomer is typical, in the others' mix."""
-        n, since = len(self.boot.routes), self.now - self.cycles(SETTLED)
-        totals = [sum(p.usage.get(route, 0.0) for p in self.proxies.values()) for route in range(n)]
-        heard, mute = sum(totals), [sum(p.typical for p in self.proxies.values() if route not in p.usage and (
-            p.since > since or not p.usage)) for route in range(n)]
-        return [t + more * (t / heard if heard else 1 / n) for t, more in zip(totals, mute)]
+        self.demand.settle(self.now - self.cycles(SETTLED))
+        totals, mute = self.demand.by_route()
+        heard = sum(totals)
+        return [t + more * (t / heard if heard else 1 / len(totals)) for t, more in zip(totals, mute)]
 
     def first_tries(self):
         """Demand without the calls that come again because refused: with them the way back lags."""
@@ -331,8 +338,8 @@
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
         (tries, answered, taken), self.tally = self.tally, [0] * 3
-        new = sum(p.calls() for p in self.proxies.values() if self.now - p.since < self.cycles(SETTLED))
-        if not tries or new > NEWCOMERS * sum(p.calls() for p in self.proxies.values()):
+        self.demand.settle(self.now - self.cycles(SETTLED))
+        if not tries or self.demand.of_newcomers() > NEWCOMERS * self.demand.all():
             return  # those that have just come are in the demand before they are in the reports
         running = self.running().values()
         for x in running:
@@ -340,7 +347,7 @@
                 x.tries, x.dropped = x.tries / 2, x.dropped / 2
             for zone, known in x.served.items():
                 known[0] *= 0.5 ** (1 / self.spell) if self.now - known[1] > self.cycles(0) else 1.0
-        served = sum(x.answering() for x in running)
+        served = sum(x.answering(self.paces) for x in running)
         took = taken / answered if answered else 0.0
         slow_at = SLOW * min(r.slo for r in self.boot.routes)
         if took > slow_at:  # alone tells a full fleet. Could do harm where waiting rooms are very short.
@@ -359,7 +366,7 @@
             self.strained, self.fleet = False, max(self.fleet * growth, (self.fleet + self.before) / 2)
 
     def stated(self, x):
-        whole, mine = x.rate / x.busy, x.answering()
+        whole, mine = x.rate / x.busy, x.answering(self.paces)
         others = max(x.rate / x.heard - mine, 0.0) if self.boot.coordinators > 1 else 0.0
         return max(whole - others, mine, 0.01) if others else max(whole, 0.01)
 
@@ -410,7 +417,7 @@
     def decide(self):
         demands, capacity = self.first_tries(), self.capacities()
         ranks = sorted({r.importance for r in self.boot.routes})
-        typical = sum(p.typical for p in self.proxies.values()) or 1.0
+        typical = self.demand.typical() or 1.0
         wants, weights = {}, {}
         for table, route, zone in self.layout():
             paths = self.paths(route, zone)
@@ -419,7 +426,7 @@
                 continue
             parts = {b: capacity[b] / whole if whole > 0 else 1 / len(paths) for b in paths}
             self.theta[table] = self.floored({b: old.get(b, parts[b]) for b in paths})
-            here = sum(p.typical for p in self.proxies.values() if zone in (None, p.zone)) / typical
+            here = self.demand.typical(zone) / typical
             if demands[route] * here > 0:  # a route without usage keeps its multipliers and a full share
                 wants[table] = demands[route] * here
                 weights[table] = wants[table] * PRECEDENCE ** ranks.index(self.boot.routes[route].importance)
@@ -493,7 +500,7 @@
         every message costs its head, or what fits into half a backlog. Returns those still to be said."""
         fresh = [b for b in which if self.backends[b].out != out]  # the rest is said again, to those who wait
         named = any(b in lines for b in fresh for lines in self.tables.values())
-        holders = [p for p in self.proxies.values() if named or self.waits(p)]
+        holders = list((self.proxies if named else self.users.waiting).values())
         space = max(int((part * self.boot.backlog - self.queue) / max(len(holders), 1) - self.head), 0)
         full = self.queue > self.boot.backlog / 2 and space < len(which)
         if full or part < OUT and not self.fits(holders, part, len(which)):
@@ -501,30 +508,48 @@
         for b in which[:space]:
             self.backends[b].out = out
             self.out.withdraw(b, out)
-            self.charge(holders)
+        self.charge(holders, len(which[:space]))
         return which[space:]
 
     def charge(self, proxies, lines=1):
         """All that is not known to have left counts as waiting, which holds at any pace."""
-        for p in proxies:
-            self.queue += lines + (0 if p.cost else self.head)
-            p.cost += lines
-
-    def fits(self, users, part, lines=1):
-        """Rule 5: whether an order that can wait may go; half of the counted messages is for the rest."""
+        for p in proxies if lines else ():
+            added = lines + (0 if p.number in self.charged else self.head)
+            self.queue += added
+            p.cost += added
+            self.charged[p.number] = p
+
+    def charge_users(self, table, lines):
+        """The same for all that are bound to a table: each once a round, the rest in one figure (`post`)."""
+        users = self.users.of(table)
+        if table not in self.spent:
+            for p in users:
+                if p.number not in self.charged:
+                    self.queue += self.head
+                    p.cost = self.head
+                    self.charged[p.number] = p
+        self.spent[table] = self.spent.get(table, 0) + lines
+        self.queue += lines * len(users)
+
+    def fits(self, users, part, lines=1, heads=None):
+        """Rule 5: whether an order that can wait may go; half of the counted messages is for the rest.
+        `heads`: how many of the users get no message of this round yet, where that is known."""
         most, since = self.boot.messages_most, self.now - self.boot.messages_over
         if part < OUT and (self.behind or most and
                            any(2 * sum(at > since for at in p.sent) >= most for p in users)):
             return False
-        cost = sum(lines + (0 if p.cost else self.head) for p in users)
+        heads = sum(p.number not in self.charged for p in users) if heads is None else heads
+        return self.queue + lines * len(users) + self.head * heads <= self.room(part, len(users))
+
+    def room(self, part, users):
+        """Lines that may wait, by an order of that part which goes to so many."""
         space = part * min(self.boot.backlog, self.boot.pace * self.boot.grace / 2e6)
-        crowd = min(space / 2 + self.head * len(users), CROWD * self.boot.backlog) * (part > AT_ONCE)
-        return self.queue + cost <= max(space, crowd)
+        return max(space, min(space / 2 + self.head * users, CROWD * self.boot.backlog) * (part > AT_ONCE))
 
     def push(self, turn):
         """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered."""
         changes, unplaced, demands, lately = [], set(), self.demands(), self.lately()
-        waits = any(self.waits(p) for p in self.proxies.values())
+        waits, heads = bool(self.users.waiting), {}
         for table, route, _ in self.layout():
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
             calls = demands[route] / max(len(theta), 1)
@@ -537,9 +562,12 @@
             changes += [(2 + (b in lately), -FULL, table, b, 0.0) for b in lines if theta and b not in theta]
         self.lacking = False
         for order, _, table, b, weight in sorted(changes):
-            users = [p for p in self.proxies.values() if table in p.bound]
+            users = self.users.of(table)
             part = (NEW if order < 2 or waits else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
-            if order and users and not self.fits(users, part):  # what nobody holds yet costs nothing
+            known = table, len(self.charged)
+            if known not in heads:
+                heads[known] = sum(p.number not in self.charged for p in users)
+            if order and users and not self.fits(users, part, 1, heads[known]):  # what nobody holds is free
                 unplaced.add(b)  # and so not let in again either
                 self.lacking = self.lacking or order < 2
                 continue
@@ -547,7 +575,7 @@
             if not weight:
                 del self.tables[table][b]
             self.out.line(table, b, weight)
-            self.charge(users, 1 + self.backends[b].out)  # its withdrawal may not have been said yet
+            self.charge_users(table, 1 + self.backends[b].out)  # its withdrawal may not have been said yet
         back = [b for b, x in self.backends.items() if x.out and x.state == "running" and b not in unplaced]
         if not waits:
             self.unsaid.clear()
@@ -590,48 +618,66 @@
                 self.out.line(table, b, 1.0)
                 self.charge(users)
                 self.refuge.append(b)
-        for p, routes in waiting.items():
-            proxy, cost = self.proxies[p], self.binding(self.refuge, self.proxies[p])
+        out = sum(self.backends[b].out for b in self.refuge)
+        for p, routes in waiting.items() if self.refuge else ():
+            proxy, cost = self.proxies[p], self.binding(self.refuge, self.proxies[p], out)
             routes = [r for r in routes if not self.boot.routes[r].own_zone]
-            if routes and self.refuge and not proxy.sheltered and self.fits([proxy], NEW, cost):
+            if routes and not proxy.sheltered and self.fits([proxy], NEW, cost):
                 self.out.bind(p, table, routes)
                 proxy.sheltered = True
                 self.charge([proxy], cost)
 
-    def binding(self, lines, proxy):
+    def binding(self, lines, proxy, out=None):
         brought = 0 if proxy.bound or proxy.sheltered else proxy.brought  # the first lets them back
-        return 1 + len(self.boot.routes) + len(lines) + sum(self.backends[b].out for b in lines) + brought
+        out = sum(self.backends[b].out for b in lines) if out is None else out
+        return 1 + len(self.boot.routes) + len(lines) + out + brought
 
     def join(self):
         """Binds proxies to the shared tables, after withdrawals and lines of what has none."""
-        if not any(self.waits(p) for p in self.proxies.values()):
+        if not self.users.waiting:
             while self.refuge:
                 self.out.line(len(self.boot.routes) * (1 + self.boot.zones), self.refuge.pop(), 0.0)
             return
         demands, wanted, waiting = self.demands(), [], {}
         out, running = len(self.lately()), self.running().values()
         strange = self.fleet is None or sum(not x.calls for x in running) > NEWCOMERS * len(running)
-        for p, proxy in self.proxies.items():
+        laid = [(t, route, zone, len(self.tables[t]))
+                for t, route, zone in self.layout() if self.tables.get(t)]
+        shelter = self.say_at is None and out > AT_RISK * (out + len(running))
+        least = 1 + len(self.boot.routes) + min((lines for *_, lines in laid), default=0)
+        if not laid or not shelter and self.full(least):
+            return
+        for p, proxy in self.users.waiting.items():
             early = self.now - proxy.since < self.cycles(PATIENCE)
             if not proxy.standing and strange and early and out < (out + len(running)) / 2:
                 continue  # after a crash, what one that knew has laid is better
             calls = proxy.calls()
-            wanted += [(not proxy.standing, -calls * demands[route] / len(self.tables[t]), p, t, route)
-                       for t, route, zone in self.layout()
-                       if t not in proxy.bound and self.tables.get(t) and zone in (None, proxy.zone)]
-        for _, _, p, table, route in sorted(wanted):
-            proxy, cost = self.proxies[p], self.binding(self.tables[table], self.proxies[p])
-            if self.lacking or self.say_at is not None or not self.fits([proxy], BINDINGS, cost):
+            wanted += [(not proxy.standing, -calls * demands[route] / lines, p, t, route)
+                       for t, route, zone, lines in laid
+                       if t not in proxy.bound and zone in (None, proxy.zone)]
+        outs = {t: sum(self.backends[b].out for b in self.tables[t]) for t, *_ in laid}
+        heapify(wanted)
+        while wanted and (shelter or not self.full(least)):
+            _, _, p, table, route = heappop(wanted)
+            proxy, cost = self.proxies[p], self.binding(self.tables[table], self.proxies[p], outs[table])
+            if self.full(least) or not self.fits([proxy], BINDINGS, cost):
                 waiting.setdefault(p, []).append(route)
                 continue
             self.out.bind(p, table, (route,))
-            proxy.bound.add(table)
+            self.users.bind(p, proxy, table)
             self.charge([proxy], cost)
-        if waiting and self.say_at is None and out > AT_RISK * (out + len(running)):
+            proxy.cost -= self.spent.get(table, 0)  # lines of this round went to those that were bound before
+        if waiting and shelter:
             self.shelter(waiting)
 
+    def full(self, least):
+        """Whether no binding may go now, the smallest and cheapest among them."""
+        return (self.lacking or self.behind or self.say_at is not None
+                or self.queue + least > self.room(BINDINGS, 1))
+
     def post(self):
-        written = {p: proxy.cost + self.head for p, proxy in self.proxies.items() if proxy.cost}
+        written = {p: proxy.cost + sum(lines for table, lines in self.spent.items() if table in proxy.bound)
+                   for p, proxy in self.charged.items()}
         if written:
             self.mark = (self.mark + 1) % 65536
             reached = self.out.mark(self.mark)
@@ -639,6 +685,7 @@
                 self.queue -= written.pop(p)  # it knows all that already, and will acknowledge nothing
             self.owed.append((self.mark, written))
         most = self.boot.messages_most
-        for p, proxy in self.proxies.items():
+        for p, proxy in self.charged.items():
             proxy.sent = [*proxy.sent[1 - most:], self.now] if most and p in written else proxy.sent
             proxy.cost = 0
+        self.charged, self.spent = {}, {}
