The multiplier loop ends where it has closed: a turn's Alg. 2 runs once where nothing binds

Seen in a probe: in steady service no multiplier moves by more than 3e-15 of an even share after the first pass.

Change: the loop of fill() ends once none moves by 1e-9 of an even share; under scarcity it runs up to ten passes as before.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -14,7 +14,8 @@
 TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
 TARGET = 0.65  # assumed load where none is reported
 GROWTH, ENOUGH = 1.1, 0.25  # of the fleet's capacity, a clean recompute, where more than this part is used
-FLOOR, ITERATIONS = 0.1, 10  # least multiplier, in even shares; rounds of the multiplier loop
+FLOOR, ITERATIONS = 0.1, 10  # least multiplier, in even shares; rounds of the multiplier loop at most
+STILL = 1e-9  # in even shares: the loop has closed where no multiplier moves by more
 CHANGED, FINE = 0.1, 0.03  # parts by which a line, and a level (or the capped loop), may be off
 SLACK = 1.02  # backends are filled to a common level this much above the least that holds the demand
 PRECEDENCE = 8.0  # weight of a route over the next less important one
@@ -463,10 +464,14 @@
         thetas = [self.theta[t] for t in tables]
         for _ in range(ITERATIONS):
             rates = waterfill(list(wants.values()), list(weights.values()), thetas, capacity)
+            before = list(thetas)
             for k, rate in enumerate(rates):
                 total = sum(rate.values())
                 if total > 0:
                     thetas[k] = self.floored({b: f / total for b, f in rate.items()})
+            if all(abs(t - old[b]) * len(old) < STILL for old, new in zip(before, thetas)
+                   for b, t in new.items()):
+                break  # where no backend binds it stands after the first
         return dict(zip(tables, rates)), dict(zip(tables, thetas))
 
     def floored(self, theta):
