Test: no word of others ends in a member's death without a failed probe of one's own

Change: a test that plays only accusations, with probes answered and with the accused one's unanswered.

--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -11,6 +11,7 @@
 from cranecleat.gossip.agent import Agent
 from cranecleat.gossip.bridge import Bridge, key_of
 from cranecleat.gossip.claims import Claims
+from cranecleat.gossip.members import Members
 from cranecleat.gossip.pace import Bucket
 from cranecleat.gossip.roster import Member, Roster, Unusable, number
 from cranecleat.gossip.seal import Checker, Door, Signer, Window
@@ -383,6 +384,21 @@
     assert not [line for line in group.log if line.endswith("to dead")]
 
 
+def test_no_word_of_others_ends_in_death_without_a_failed_probe_of_ones_own():
+    for answers in (True, False):
+        members, now = Members(1, [2, 3, 4, 5], lambda below: 0, 0), 0
+        for one in (2, 3, 4, 5):
+            members.heard(one, EPOCH, 0, 0)
+        for _ in range(600):
+            now += SECOND // 10
+            for accuser in (3, 4, 5):
+                members.accused(2, EPOCH, 0, accuser, now)
+            for order in members.step(now):
+                if order[0] == "ping" and (answers or order[1] != 2):
+                    members.answered(order[2], now)
+        assert (members.standing[2].state == "dead") is not answers
+
+
 def test_everybody_hears_a_claim_in_a_few_rounds():
     group = Group(30)
     group.run(10)
