Rounds: lines parsed a second and bytes held are measured too

Need: the way in and what is kept a proxy and a backend were not measured; a coordinator that carries 5,000 proxies takes in 15,000 lines a second and more.

No change to the program.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -9,6 +9,7 @@
 where a stated aim is missed.
 """
 
+import gc
 import importlib
 import json
 import math
@@ -17,13 +18,14 @@
 import sys
 import tempfile
 import time
+import tracemalloc
 from pathlib import Path
 
 ROOT = Path(__file__).parent.parent
 EARLIER = "51f187c"
 SECOND, ROUNDS, ZONES = 1_000_000, 50, 3
 SIZES = ((30, 60), (30, 150), (120, 640), (300, 1000), (1000, 5000))
-AIMS = {"part": 0.1, "cpu": 0.6, "longest": 0.030, "exponent": 1.1}
+AIMS = {"part": 0.1, "cpu": 0.6, "longest": 0.030, "exponent": 1.1, "lines": 40_000}
 
 
 def version(path):
@@ -146,6 +148,47 @@
     return told
 
 
+def lines_a_second(lines, door, repeats):
+    """Report lines split, parsed, checked and turned into calls, a second, on one core."""
+    names = door.Names()
+    for b in range(120):
+        names(f"s-{b:08x}")
+    reader = lines.Reader({"a": 0}, {"r0": 0}, 640, names, SECOND, 5 * SECOND)
+    reader.typical = 6400.0
+    data = b"".join(f"upstream_stats locality=a endpoint=s-{b:08x} total=212 errors=3 rtt=41.7 interval=1000.0 "
+                    "metrics=utilization:0.61,throughput:21.0\r\n".encode() for b in range(120))
+    data += b"".join(f"client_stats node={p} route=r0 total=19 errors=0 interval=1000.0\r\n".encode()
+                     for p in range(640))
+    count, begun = 0, time.perf_counter()
+    for _ in range(repeats):
+        found, _ = lines.split(data)
+        for line in found:
+            kind, values = lines.parse(line)
+            getattr(reader, kind)(lines.Words(kind, values))
+            count += 1
+    return round(count / (time.perf_counter() - begun))
+
+
+def held(modules):
+    """Bytes that the planner and `Streams` keep for a proxy and for a backend, in steady service with three routes."""
+    def whole(backends, proxies):
+        gc.collect()
+        tracemalloc.start()
+        fleet = Fleet(modules, backends, proxies)
+        fleet.start()
+        for _ in range(12):
+            fleet.cycle()
+        fleet.times.clear()
+        fleet.acks.clear()
+        gc.collect()
+        told = tracemalloc.get_traced_memory()[0]
+        tracemalloc.stop()
+        return told
+
+    least, proxies, backends = whole(30, 100), whole(30, 400), whole(130, 100)
+    return {"a_proxy": round((proxies - least) / 300), "a_backend": round((backends - least) / 100)}
+
+
 def exponent(figures):
     """Of CPU a cycle over the number of lines, from the smallest to the largest fleet."""
     told = [(backends * ZONES + proxies * 3, figures[f"{backends}x{proxies}"]["cpu_s"])
@@ -165,6 +208,13 @@
             figures["now"][name] = measure(here, size, 2 if quick else 5, not quick or size < SIZES[-1])
             if before and size <= ((120, 640) if quick else (300, 1000)):
                 figures["earlier"][name] = measure(before, size, 1 if quick else 3)
+    from cranecleat import door
+    from cranecleat.protocol import lines
+
+    figures["lines_a_second"] = lines_a_second(lines, door, 10 if quick else 60)
+    figures["bytes"] = held(here)
+    if figures["lines_a_second"] < AIMS["lines"]:
+        missed.append(f"{figures['lines_a_second']} lines a second")
     figures["exponent"] = exponent(figures["now"])
     if figures["earlier"]:
         figures["part_120x640"] = round(figures["now"]["120x640"]["cpu_s"] / figures["earlier"]["120x640"]["cpu_s"], 3)
