Files: one that is fenced gives its proxies back to their streams; lags as figures

Need, found on reading the whole change once more: after another writer had taken the folder, proxies served through files stayed joined here though nothing could be published, and a stream of theirs would have stood aside for good.

Change: Front.give_up (they leave, streams that stood aside serve, new ones are not parked); files_lag every five seconds while anybody is behind; tests with a real daemon that is fenced, and of starts on a read-only, a full and a forbidden folder: one line, code 2 as for any.

--- a/cranecleat/files/front.py
+++ b/cranecleat/files/front.py
@@ -14,10 +14,12 @@
 from cranecleat.files.intake import Intake
 from cranecleat.files.ledger import Ledger
 from cranecleat.files.recover import look
+from cranecleat.protocol.limits import SUMMED
 from cranecleat.protocol.reasons import Reason
 
 AGAIN = 500_000  # microseconds until a publication that failed is tried again
 SLOW = 50_000  # of one publication: the disk holds rounds up
+MOST_TOLD = 16  # proxies that one line of lags names, the worst first
 LAGGED = 2  # a proxy is said to lag after the grace of drains by this
 
 
@@ -70,7 +72,7 @@
                              hub.names, station.bootstrap.cycle)
         self.choice = Choice(section.lose, section.hold)
         self.versions, self.parked, self.retry_at, self.closed = {}, {}, 0, False
-        self.lagging = set()
+        self.lagging, self.next_lags = set(), 0
         hub.log.info("files_open", folder=section.folder, fence=self.hold.fence, generation=found.generation,
                      bodies=len(found.bodies), proxies=len(found.orders), swept=found.swept or None)
         for path, wrong in found.wrong:
@@ -144,6 +146,8 @@
     def stream_came(self, connection, zone, typical, standing):
         """Whether the stream of a proxy serves it at once; if not, it waits until it has stood for long enough."""
         now, proxy = self.hub.clock.now(), connection.number
+        if self.closed:
+            return True
         self.choice.stream(now, proxy, True)
         if self.choice.serves(proxy) != FILES:
             self.choice.decide(now)
@@ -193,8 +197,9 @@
             for step in self.ledger.done(now):
                 do(self.disk, step)
         except Fenced as fenced:
-            self.closed = True
             self.hub.log.error("files_fenced", says=str(fenced))
+            self.give_up()
+            return
         except OSError as failure:
             self.ledger.failed()
             self.retry_at = now + AGAIN
@@ -203,8 +208,23 @@
         if took > SLOW:
             self.hub.count("files_slow", detail=f"{took} us")
 
+    def give_up(self):
+        """The folder is another writer's: whom it served has left here, and streams that stood aside serve at once."""
+        self.closed = True
+        for proxy in list(self.ledger.seats):
+            self.ledger.leave(proxy)
+            self.hub.told(("left", proxy))
+        for proxy in list(self.parked):
+            self.hub.stream_joined(*self.parked.pop(proxy))
+
     def tell_lags(self, now):
-        """A reader that lags is said once, and once when it does not any more."""
+        """A reader that lags is said once, and once when it does not any more; lags as figures every five seconds."""
+        lags = {p: lag for p, lag in self.ledger.lags(now).items() if lag}
+        if lags and now >= self.next_lags:
+            self.next_lags = now + SUMMED
+            worst = sorted(lags, key=lags.get, reverse=True)[:MOST_TOLD]
+            self.hub.log.info("files_lag", behind=len(lags), seconds=",".join(
+                f"{p}:{lags[p] / 1e6:.2f}" for p in worst))
         late = {p for p, lag in self.ledger.lags(now).items() if lag > self.hub.station.bootstrap.grace // LAGGED}
         for proxy in sorted(late - self.lagging):
             self.hub.log.warning("files_lagging", proxy=proxy)
--- a/tests/test_files_daemon.py
+++ b/tests/test_files_daemon.py
@@ -1,5 +1,6 @@
 """The running coordinator with the files transport; each test waits for events, none for time to pass."""
 
+import errno
 import json
 import os
 import re
@@ -9,11 +10,16 @@
 import threading
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
+from cranecleat.door import Malformed
+from cranecleat.files.disk import OWNER, Disk, write_owner
 from cranecleat.files.follow import Follower
-from folders import report
+from cranecleat.files.front import Front
+from cranecleat.operator.file import Files
+from folders import Counted, fail_at, report
 from scene import Service, chunk, same
 
 ROOT = Path(__file__).parent.parent
@@ -155,6 +161,31 @@
     same("files_made_good", [re.sub(r"count=\d+", "count=N", line) for line in text])
 
 
+def test_one_that_is_fenced_gives_its_proxies_back_to_their_streams(place):
+    with Service(place).start() as service:
+        watch, _ = service.watch(service.list(42, s_1="active"))
+        proxy = Proxy(place / "d", 3)
+        try:
+            proxy.until(serves)
+            disk = Disk(place / "d", "none")
+            disk.replace(write_owner(proxy.follower.view.fence + 10, 1, "n9"), OWNER)
+            watch.sendall(chunk(service.list(43, full=False, s_2="active")))
+            text = [re.sub(r"fence \d+|ours is \d+|/\S+/", "N", service.log("files_fenced"))]
+            stream = service.dial("attach node=3 locality=a w=6.5 cold=0")
+            assert "replace=1" in service.read(stream, rb"stamp=(\d+)\r\n") and service.answers()
+        finally:
+            proxy.stop()
+    same("files_fenced", text)
+
+
+@pytest.mark.parametrize("code", [errno.EROFS, errno.ENOSPC, errno.EACCES])
+def test_a_folder_that_cannot_be_written_at_the_start_is_one_clear_line(tmp_path, code):
+    hub = SimpleNamespace(station=SimpleNamespace(name="n0"))
+    with pytest.raises(Malformed, match="`folder` in the operator's file names it") as wrong:
+        Front(hub, Files(tmp_path / "d", "none", 1, 1, 1), Counted(fail_at(1, code), only=("open",)))
+    assert os.strerror(code) in str(wrong.value)
+
+
 def test_the_commands_read_a_folder_that_is_in_use(place):
     def command(*words):
         done = subprocess.run([sys.executable, "-m", "cranecleat", "files", *words], cwd=ROOT, capture_output=True,
