--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -64,6 +64,7 @@
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
         self.out, self.told, self.left = False, 0, 0  # withdrawn; since when it should be; when last not gone
+        self.said = 0  # when it was withdrawn last
         self.forget()
 
     def forget(self):
@@ -505,13 +506,15 @@
         every message costs its head, or what fits into half a backlog. Returns those still to be said."""
         fresh = [b for b in which if self.backends[b].out != out]  # the rest is said again, to those who wait
         named = any(b in lines for b in fresh for lines in self.tables.values())
-        holders = list((self.proxies if named else self.users.waiting).values())
+        holders = (self.proxies if named else self.users.waiting).values()
+        since = 0 if fresh else min((self.backends[b].said for b in which), default=0)
+        holders = [p for p in holders if p.since >= since]  # who was here then knows
         space = max(int((part * self.boot.backlog - self.queue) / max(len(holders), 1) - self.head), 0)
         full = self.queue > self.boot.backlog / 2 and space < len(which)
         if full or part < OUT and not self.fits(holders, part, len(which)):
             return which
         for b in which[:space]:
-            self.backends[b].out = out
+            self.backends[b].out, self.backends[b].said = out, self.now
             self.out.withdraw(b, out)
         self.charge(holders, len(which[:space]))
         return which[space:]
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -119,3 +119,18 @@
     for _ in range(4):
         scene.second([0, 1], calls=20, came=(20, 20))
     same("after_a_crash", scene)
+
+
+def test_rule_3_what_is_said_again_waits_for_room_for_those_who_came_since():
+    scene = Scene(verbs=("withdraw",), backlog=620, acknowledge=False)
+    scene.list(*((b, "running", None) for b in range(12)))
+    scene.say("twenty proxies, of which hardly any can be bound; four backends go")
+    scene.join(*range(20))
+    scene.list(*((b, "gone", None) for b in range(4)), how="changes", after=0.1)
+    scene.tell(after=0.3)
+    scene.say("one more comes while the channel is full: four lines to one, not to all who wait, have to fit")
+    scene.join(20, after=0.1)
+    scene.tell(after=0.3)
+    scene.tell(after=0.7)
+    scene.say(f"behind: {scene.planner.behind}, lines that wait: {scene.planner.queue:.0f}")
+    same("rule_3_again", scene)
