Sections: fleets whose full tables no channel brings in time get parts of the fleet

At fault: layout() (one table a route with all backends, whatever the channel carries) and bar() (withdrawals to all who wait).

Change: where a full set for four shares of the proxies takes longer than a backend is cold, by start-up figures, the fleet is parted into sections of 8 to 30 lines, each with one table for all routes with the same paths; a backend is in two sections, and Alg. 2 runs over them as the paper's demands with few paths. Lines of what leaves are taken out of the tables; who waits is bound first, which withdraws everything for some 30 lines. What a proxy may bring shut out is let back where its tables name it. Elsewhere nothing changes. State and sums moved to tallies/ (known, channel, layout).

--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -39,6 +39,7 @@
     grace: int  # drains are kept within this
     cold: int  # a backend is warm this long after its start
     cold_from: float  # and starts at this share of its capacity or more
+    proxies: int = 0  # of the deployment
 
 
 class Writer(Protocol):
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -25,6 +25,7 @@
         self.places, self.users = 0, {}  # streams so far; table -> proxies with a route bound to it
         self.joined, self.ever = {}, {}  # proxy -> stream; proxy -> backends that it was ever told to shut out
         self.tables, self.out = {}, set()  # table -> {backend: weight}; backends withdrawn
+        self.left = set()  # backends that may have been withdrawn elsewhere and run again: see `listed`
         self.levels = {}  # (table or None for all, route) -> (level, tries)
         self.clear()
 
@@ -35,15 +36,22 @@
 
     # Who is joined
 
+    def listed(self, scope, entries):
+        """Which backends a proxy may bring shut out by another coordinator: those that have ever left, as seen here,
+        and of the list that was held at the start those that have been restarted, which may have been before it."""
+        if scope == "whole":
+            self.left.update(set(self.names.index.values()).difference(b for b, *_ in entries))
+        self.left.update(b for b, state, *_, started in entries if state != "running" or scope == "held" and started)
+
     def typical(self):
         return sum(stream.typical for stream in self.joined.values())
 
     def join(self, proxy, connection, typical, standing):
         """Returns the stream that this one replaces, and how many backends the proxy may come with shut out.
         One that holds ordered tables may have them from another coordinator, or from an earlier life of this
-        one: it may shut out anything."""
+        one: it may shut out anything that has ever left."""
         old, ever = self.joined.get(proxy), self.ever.setdefault(proxy, set())
-        brought = set(ever) if standing else set(self.names.index.values())
+        brought = set(ever) if standing else ever | self.left
         if old:
             self.unbind(proxy, old)
         self.places += 1
@@ -90,6 +98,7 @@
     def forget(self, backend):
         """No table names it and no proxy is told of it any more: its name and its index are free."""
         self.out.discard(backend)
+        self.left.discard(backend)
         for told in (*self.ever.values(), *(held for s in self.joined.values() for held in (s.shut, s.brought))):
             told.discard(backend)
         self.names.forget(backend)
@@ -152,7 +161,9 @@
             if route in fresh or {(None, route), (table, route)} & self.admitted:
                 levels.setdefault(self.level(table, route), []).append(route)
         parts += [self.once(assign, self.named(routes), level=level) for level, routes in levels.items() if level]
-        return parts + (self.shutting(stream, bool(fresh)) if fresh or self.shuts else [])
+        told = stream.shut or stream.brought
+        changed = self.shuts or told and not self.lines.keys().isdisjoint(stream.bound.values())
+        return parts + (self.shutting(stream) if fresh or changed else [])
 
     def rows(self, table, routes, new):
         lines = self.tables.get(table, {}) if new else self.lines[table]
@@ -166,15 +177,15 @@
         both = [self.levels[key] for key in ((None, route), (table, route)) if key in self.levels]
         return (min(level for level, _ in both), both[-1][1]) if both else None
 
-    def shutting(self, stream, bound):
-        """A proxy that was bound keeps to what is withdrawn here: the rest that it may hold is let back."""
+    def shutting(self, stream):
+        """A proxy keeps to what is withdrawn here: the rest that it may shut out is let back once a table names it."""
         tables = frozenset(stream.bound.values())
         if tables not in self.held:
             self.held[tables] = {b for table in tables for b in self.tables.get(table, ())}
         held = self.held[tables]
         loose = len(stream.bound) < len(self.routes)  # for some routes its lines are not known
         out = sorted(b for b in self.out - stream.shut if b in held or loose and b in self.moved)
-        back = sorted(b for b in (stream.shut | stream.brought) - self.out if bound or b in self.moved)
+        back = sorted(b for b in (stream.shut | stream.brought) - self.out if b in held or loose and b in self.moved)
         stream.shut.update(out)
         stream.ever.update(out)
         stream.shut.difference_update(back)
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -6,9 +6,14 @@
 Times are whole microseconds, ids small indices, rates calls a second. Why: docs/design/planner.md."""
 
 import zlib
+from collections import Counter
 from heapq import heapify, heappop, heappush
+from itertools import islice
 
+from cranecleat.tallies.channel import Channel
 from cranecleat.tallies.demand import Demand
+from cranecleat.tallies.known import Backend, Proxy
+from cranecleat.tallies.layout import Layout
 from cranecleat.tallies.users import Users
 
 TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
@@ -35,6 +40,8 @@
 AT_ONCE, WEIGHTS, BINDINGS, LEVELS, NEW, CROWD, OUT = 0.1, 0.3, 0.33, 0.75, 0.5, 0.95, 0.98
 AT_RISK, REFUGE = 0.2, 12  # part of the known backends gone, backends in the table for proxies that wait
 GATHER, LATELY, REST = 0.12, 5, 20  # graces: to gather withdrawals; said to who comes; what went is forgotten
+# Sections: shares of the proxies that one may have to serve; of a grace, to bind these all; lines of a table.
+REACH, BOUND_IN, FEWEST, MOST = 4, 0.7, 8, 30
 
 
 def waterfill(demands, weights, paths, capacity):
@@ -60,53 +67,25 @@
     return rates
 
 
-class Backend:
-    def __init__(self):
-        self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
-        self.out, self.told, self.left = False, 0, 0  # withdrawn; since when it should be; when last not gone
-        self.said = 0  # when it was withdrawn last
-        self.forget()
-
-    def forget(self):
-        self.busy = self.rate = self.heard = 0.0  # its reports, decaying: cores busy, calls a second, count
-        self.served = {}  # zone -> [answered a second, smoothed, over the zone's pace; when reported]
-        self.tries = self.dropped = self.took = self.calls = 0.0  # sums with decay; answer time, of how many
-        self.quiet, self.missing, self.shut = 0, 0.0, False  # since its last answer: spells, answers due
-        self.doubt = 0.0  # answers that peers miss
-
-    def answering(self, paces):
-        return sum(rate * paces.get(zone, 1.0) for zone, (rate, _) in self.served.items())
-
-
-class Proxy:
-    def __init__(self, number, zone, typical, now, standing, brought):
-        self.number, self.zone, self.typical, self.since = number, zone, typical, now
-        self.standing, self.brought = standing, brought  # only what it drew at its start; others' withdrawals
-        self.usage, self.bound, self.sheltered = {}, set(), False  # route -> calls a second; tables
-        self.cost, self.sent = 0, []  # of this round's message, with its head; when counted ones were written
-
-    def calls(self):
-        return sum(self.usage.values()) if self.usage else self.typical
-
-
 class Planner:
     def __init__(self, bootstrap, seed):
         self.boot, self.seed, self.draws, self.head = bootstrap, seed, 0, bootstrap.head + 1  # with its mark
-        self.backends, self.proxies = {}, {}
+        self.backends, self.proxies, self.paces = {}, {}, {}  # zone -> factor of what its proxies served
         self.demand, self.users = Demand(len(bootstrap.routes)), Users(len(bootstrap.routes))
-        self.paces = {}  # zone -> factor of what its proxies are said to have served
-        self.charged, self.spent = {}, {}  # of a round: who gets a message; table -> lines to all users
+        self.channel, self.layout = Channel(self.head), Layout(bootstrap.routes, bootstrap.zones)
         self.tables, self.levels = {}, {}  # table -> {backend: weight}, route -> level: as sent
         self.theta = {}  # table -> {backend: multiplier}
+        self.sections, self.homes = 0, {}  # parts of the fleet with tables of their own; backend -> its part
+        self.here, self.burden = {}, []  # table -> part of the demand; section -> [users' calls, capacity]
         self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
         self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
         self.due, self.next_turn, self.asks = [], None, 0
         self.mark = zlib.crc32(f"{seed}:mark".encode()) % 65536  # unlike an earlier life's
-        self.queue, self.owed = 0.0, []  # lines that may still wait, and (mark, proxy -> lines) of them
         self.tally = [0] * 3  # of one turn's reports: tries, answered, time taken by answers
         self.spell, self.level = 1.0, 1.0  # cycles in which all lines come round; how far backends fill
-        self.changed = self.lacking = False  # the list has; backends that run have no line
+        # The list has changed; backends that run have no line; bindings to sections wait for room.
+        self.changed = self.lacking = self.crowded = False
         self.unsaid, self.say_at, self.behind, self.repeating = set(), None, False, False  # of withdrawals
         self.fleet, self.before, self.width = None, 0.0, 0.0  # all can do; did before trouble; size
         self.strained, self.dropped_at = False, 0  # the fleet is slow; its capacity's last drop
@@ -190,7 +169,7 @@
         self.rebase(zone, typical)
         if not self.repeating:
             self.repeating = True
-            self.later(int(GATHER * self.boot.grace), self.repeat)
+            self.later(int((0.5 if self.sections else GATHER) * self.boot.grace), self.repeat)
 
     def repeat(self):
         """Rule 3: who has come and still waits for a table may hold lines of what went meanwhile."""
@@ -209,8 +188,7 @@
     def left(self, p):
         proxy = self.proxies.pop(p, None)
         if proxy:
-            for _, lines in self.owed:
-                self.queue -= lines.pop(p, 0.0)
+            self.channel.leave(p)
             self.users.leave(p, proxy)
             self.demand.leave(p)
             self.rebase(proxy.zone, -proxy.calls())
@@ -262,12 +240,7 @@
         self.spell += (max(covers / self.boot.cycle, 1.0) - self.spell) / (4 * len(self.proxies))
 
     def applied(self, p, number):
-        """The channel sends in order: what was written before a message that has arrived has left it."""
-        for i, (mark, lines) in enumerate(self.owed):
-            if mark == number and p in lines:
-                self.queue -= lines.pop(p) + sum(sum(older.values()) for _, older in self.owed[:i])
-                del self.owed[:i]
-                break
+        self.channel.applied(p, number)
 
     def doubted(self, b, missing):
         """Answers that distinct peers miss; they halve each turn in which they are not said again."""
@@ -290,7 +263,8 @@
         for table, lines in self.tables.items():
             total = sum(w for b, w in lines.items() if b in running)
             for b, w in lines.items():
-                due[b] = due.get(b, 0.0) + demands[table % len(demands)] * w / max(total, 1e-9)
+                calls = demands[table % len(demands)] * self.here.get(table, 1.0)
+                due[b] = due.get(b, 0.0) + calls * w / max(total, 1e-9)
         whole = sum(due[b] for b in due if b in running) or 1.0
         bound = (len(self.proxies) - len(self.users.bare)) / max(len(self.proxies), 1)
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
@@ -405,33 +379,67 @@
 
     # The waterfill decides rates, shares and weights
 
-    def layout(self):
-        """One shared table a route, or one for each zone where it may not leave the proxy's."""
-        for route, r in enumerate(self.boot.routes):
-            for zone in range(self.boot.zones) if r.own_zone else [None]:
-                yield route + (0 if zone is None else len(self.boot.routes) * (1 + zone)), route, zone
-
-    def paths(self, route, zone):
+    def paths(self, route, zone, section=None):
         r = self.boot.routes[route]
-        return [b for b, x in self.running().items() if (r.kinds is None or x.kind in r.kinds)
+        able = [b for b, x in self.running().items() if (r.kinds is None or x.kind in r.kinds)
                 and (r.zones is None or x.zone in r.zones) and zone in (None, x.zone)]
+        if section is None or not self.sections or not able:
+            return able
+        wide, mine = -(-2 * len(self.homes) // len(able)), []  # as many lines for routes that may go to few
+        while not mine:
+            mine = [b for b in able if (self.homes[b] - section) % self.sections < wide]
+            wide *= 2
+        return mine
+
+    def part(self):
+        """Where a full set of tables for all that one may have to serve comes late, the fleet is parted into
+        sections, each with one table, and a proxy is bound to one. A backend is in two, so that Alg. 2 evens
+        out what their users bring. Could do harm where a section's users are too few to be alike."""
+        running, boot = self.running(), self.boot
+        reach = min(REACH / boot.coordinators, 1.0) * boot.proxies
+        full = reach * (len(boot.routes) * len(running) + self.head) * 1e6 / boot.pace
+        if full > boot.cold and not (self.sections or self.users.tables or self.refuge):
+            room = boot.pace * boot.grace * BOUND_IN / 1e6 / reach - self.head - 1 - len(boot.routes)
+            self.sections = max(int(2 * len(running) / min(max(room, FEWEST), MOST)), 1)
+            for table, b in [(table, b) for table, lines in self.tables.items() for b in lines]:
+                self.out.line(table, b, 0.0)
+            self.tables, self.theta = {}, {}
+            self.layout = Layout(boot.routes, boot.zones, self.sections)
+            self.users.tables_each = len(self.layout.groups)
+        if self.sections and running.keys() != self.homes.keys():
+            self.homes = {b: home for b, home in self.homes.items() if b in running}
+            held = Counter((home, z) for b, home in self.homes.items() for z in (None, running[b].zone))
+            fresh = running.keys() - self.homes.keys()
+            for b in sorted(fresh, key=lambda b: zlib.crc32(f"{self.seed}:{b}".encode())):
+                z = running[b].zone
+                self.homes[b] = min(range(self.sections), key=lambda s: (held[s, None], held[s, z], s))
+                held.update([(self.homes[b], None), (self.homes[b], z)])
 
     def decide(self):
+        self.part()
         demands, capacity = self.first_tries(), self.capacities()
         ranks = sorted({r.importance for r in self.boot.routes})
         typical = self.demand.typical() or 1.0
-        wants, weights = {}, {}
-        for table, route, zone in self.layout():
-            paths = self.paths(route, zone)
+        calls = {t: sum(p.calls() for p in self.users.of(t)) for t in self.users.tables if self.sections}
+        wants, weights, here = {}, {}, {}  # by table and route
+        self.burden = [[0.0, 1e-9] for _ in range(self.sections)]
+        for table, routes, zone, section in self.layout:
+            paths = self.paths(routes[0], zone, section)
             old, whole = self.theta.pop(table, {}), sum(capacity[b] for b in paths)
             if not paths:
                 continue
             parts = {b: capacity[b] / whole if whole > 0 else 1 / len(paths) for b in paths}
             self.theta[table] = self.floored({b: old.get(b, parts[b]) for b in paths})
-            here = self.demand.typical(zone) / typical
-            if demands[route] * here > 0:  # a route without usage keeps its multipliers and a full share
-                wants[table] = demands[route] * here
-                weights[table] = wants[table] * PRECEDENCE ** ranks.index(self.boot.routes[route].importance)
+            here[table] = self.demand.typical(zone) / typical
+            if self.sections:
+                mine = calls.get(table, 0.0)
+                here[table] = mine / (sum(calls[t] for t in calls if t % len(demands) == routes[0]) or 1.0)
+                self.burden[section] = [max(pair) for pair in zip(self.burden[section], (mine, whole))]
+            for route in routes:
+                want, rank = demands[route] * here[table], ranks.index(self.boot.routes[route].importance)
+                if want > 0:  # a route without usage keeps its multipliers and a full share
+                    wants[table, route], weights[table, route] = want, want * PRECEDENCE ** rank
+        self.here = here if self.sections else {}
         if not wants:
             return
         fit = self.fit(wants, capacity)
@@ -445,24 +453,29 @@
             grants = {t: sum(rate.values()) for t, rate in rates.items()}
             fit = self.fit(grants, capacity)
         self.level = min(1.0, max(fit, 1e-6))
-        _, thetas = self.fill(grants, grants, {b: c * self.level for b, c in capacity.items()})
-        self.theta.update(thetas)
+        whole = self.by_table(grants)
+        _, thetas = self.fill(whole, whole, {b: c * self.level for b, c in capacity.items()})
+        self.theta.update({table: theta for (table, _), theta in thetas.items()})
         for route in range(len(demands)):
-            mine = [t for t in wants if t % len(demands) == route]
+            mine = [t for t in wants if t[1] == route]
             if mine:
                 part = sum(grants[t] for t in mine) / sum(wants[t] for t in mine)
                 self.granted[route] = sum(grants[t] for t in mine)
                 self.share[route] = 1.0 if part > 1.0 - FINE else part * (1 - AGAIN) / (1 - AGAIN * part)
 
+    def by_table(self, wants):
+        return {(t, None): sum(w for (table, _), w in wants.items() if table == t) for t, _ in wants}
+
     def fit(self, wants, capacity):
         """The part of the capacity that the wants take, with a little slack for the multiplier loop."""
-        single = [want / max(sum(capacity[b] for b in self.theta[t]), 1e-9) for t, want in wants.items()]
+        single = [want / max(sum(capacity[b] for b in self.theta[t]), 1e-9)
+                  for (t, _), want in self.by_table(wants).items()]
         return SLACK * max(*single, sum(wants.values()) / max(sum(capacity.values()), 1e-9))
 
     def fill(self, wants, weights, capacity):
         """The multiplier loop around Alg. 2, from the multipliers carried over."""
         tables = list(wants)
-        thetas = [self.theta[t] for t in tables]
+        thetas = [self.theta[t] for t, _ in tables]
         for _ in range(ITERATIONS):
             rates = waterfill(list(wants.values()), list(weights.values()), thetas, capacity)
             before = list(thetas)
@@ -506,48 +519,28 @@
         every message costs its head, or what fits into half a backlog. Returns those still to be said."""
         fresh = [b for b in which if self.backends[b].out != out]  # the rest is said again, to those who wait
         named = any(b in lines for b in fresh for lines in self.tables.values())
-        holders = (self.proxies if named else self.users.waiting).values()
+        holders = (self.proxies if named and not self.sections else self.users.waiting).values()
         since = 0 if fresh else min((self.backends[b].said for b in which), default=0)
         holders = [p for p in holders if p.since >= since]  # who was here then knows
-        space = max(int((part * self.boot.backlog - self.queue) / max(len(holders), 1) - self.head), 0)
-        full = self.queue > self.boot.backlog / 2 and space < len(which)
+        space = part * self.boot.backlog - self.channel.queue
+        space = max(int(space / max(len(holders), 1) - self.head), 0)
+        full = self.channel.queue > self.boot.backlog / 2 and space < len(which)
         if full or part < OUT and not self.fits(holders, part, len(which)):
             return which
         for b in which[:space]:
             self.backends[b].out, self.backends[b].said = out, self.now
             self.out.withdraw(b, out)
-        self.charge(holders, len(which[:space]))
+        self.channel.charge(holders, len(which[:space]))
         return which[space:]
 
-    def charge(self, proxies, lines=1):
-        """All that is not known to have left counts as waiting, which holds at any pace."""
-        for p in proxies if lines else ():
-            added = lines + (0 if p.number in self.charged else self.head)
-            self.queue += added
-            p.cost += added
-            self.charged[p.number] = p
-
-    def charge_users(self, table, lines):
-        """The same for all that are bound to a table: each once a round, the rest in one figure (`post`)."""
-        users = self.users.of(table)
-        if table not in self.spent:
-            for p in users:
-                if p.number not in self.charged:
-                    self.queue += self.head
-                    p.cost = self.head
-                    self.charged[p.number] = p
-        self.spent[table] = self.spent.get(table, 0) + lines
-        self.queue += lines * len(users)
-
-    def fits(self, users, part, lines=1, heads=None):
-        """Rule 5: whether an order that can wait may go; half of the counted messages is for the rest.
-        `heads`: how many of the users get no message of this round yet, where that is known."""
+    def fits(self, users, part, lines=1, table=None):
+        """Rule 5: whether an order that can wait may go; half of the counted messages is for the rest."""
         most, since = self.boot.messages_most, self.now - self.boot.messages_over
         if part < OUT and (self.behind or most and
                            any(2 * sum(at > since for at in p.sent) >= most for p in users)):
             return False
-        heads = sum(p.number not in self.charged for p in users) if heads is None else heads
-        return self.queue + lines * len(users) + self.head * heads <= self.room(part, len(users))
+        more = lines * len(users) + self.head * self.channel.heads(users, table)
+        return self.channel.queue + more <= self.room(part, len(users))
 
     def room(self, part, users):
         """Lines that may wait, by an order of that part which goes to so many."""
@@ -557,25 +550,29 @@
     def push(self, turn):
         """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered."""
         changes, unplaced, demands, lately = [], set(), self.demands(), self.lately()
-        waits, heads = bool(self.users.waiting), {}
-        for table, route, _ in self.layout():
+        waits = bool(self.users.waiting)
+        due = turn or self.say_at is not None and self.now >= self.say_at
+        for table, routes, _, _ in self.layout:
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
-            calls = demands[route] / max(len(theta), 1)
+            calls = sum(demands[r] for r in routes) * self.here.get(table, 1.0) / max(len(theta), 1)
             bare = not any(self.backends[b].state == "running" and not self.backends[b].out for b in lines)
             for b, t in theta.items():
                 weight, old = float(f"{t * len(theta):.3g}"), lines.get(b, 0.0)
                 if abs(weight - old) > CHANGED * old:
                     order = 0 if bare else 1 if old == 0.0 or self.backends[b].out else 2
                     changes.append((order, -abs(weight - old) * calls, table, b, weight))
-            changes += [(2 + (b in lately), -FULL, table, b, 0.0) for b in lines if theta and b not in theta]
-        self.lacking = False
+            changes += [(1 if self.sections and self.backends[b].state != "running" else 2 + (b in lately),
+                         -FULL, table, b, 0.0) for b in lines if theta and b not in theta]
+        self.lacking = late = False
         for order, _, table, b, weight in sorted(changes):
             users = self.users.of(table)
             part = (NEW if order < 2 or waits else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
-            known = table, len(self.charged)
-            if known not in heads:
-                heads[known] = sum(p.number not in self.charged for p in users)
-            if order and users and not self.fits(users, part, 1, heads[known]):  # what nobody holds is free
+            if order == 1 and not weight:  # rule 3: in sections, who is bound holds no other lines
+                part = OUT if due else AT_ONCE
+            elif self.crowded and order:
+                part = min(part, AT_ONCE)
+            if order and users and not self.fits(users, part, 1, table):  # what nobody holds is free
+                late = late or not weight and order == 1
                 unplaced.add(b)  # and so not let in again either
                 self.lacking = self.lacking or order < 2
                 continue
@@ -583,33 +580,39 @@
             if not weight:
                 del self.tables[table][b]
             self.out.line(table, b, weight)
-            self.charge_users(table, 1 + self.backends[b].out)  # its withdrawal may not have been said yet
+            # It may have to be shut out as well, or let back, as its withdrawal may not have been said yet.
+            more = self.backends[b].out or self.sections and weight and any(p.brought for p in users)
+            self.channel.charge_users(table, 1 + bool(more), users)
         back = [b for b, x in self.backends.items() if x.out and x.state == "running" and b not in unplaced]
         if not waits:
             self.unsaid.clear()
         gone = [b for b, x in self.backends.items() if x.state != "running" and x.out <= (b in self.unsaid)]
         gone.sort(key=lambda b: (self.backends[b].told, b))
-        due = turn or self.say_at is not None and self.now >= self.say_at
+        if self.sections:  # who is bound loses the line; a binding withdraws all, for less
+            held, first = set().union(*self.tables.values()), next(iter(self.users.waiting.values()), None)
+            stuck = first and not self.crowded and self.now - first.since > self.boot.cycle
+            gone = [b for b in gone if b not in held and (stuck or not waits)]
         part, again = OUT if due else AT_ONCE, [b for b in gone if self.backends[b].out]
         rest = self.bar([b for b in gone if b not in again], True, part) + self.bar(again, True, part)
         self.unsaid.intersection_update(rest)
-        self.behind, self.say_at = due and bool(rest), self.say_at if rest else None
-        if self.behind:
+        self.behind, self.say_at = due and bool(rest), self.say_at if rest or late else None
+        if self.behind or late:
             self.later(self.boot.cycle // 10, lambda: setattr(self, "changed", True))
         self.bar(back, False, OUT if turn else AT_ONCE)
         for route in range(len(self.boot.routes)):
             quota, old, proxies = self.quota(route), self.levels.get(route, -1.0), self.proxies.values()
             quota = round(quota * self.reached(route), 3)  # rule 4; for all tables, as some are not bound yet
             moved = turn and (abs(quota - old) > FINE * old or quota == 1.0 != old)
-            if old < 0.0 or moved and self.fits(proxies, LEVELS):
+            if old < 0.0 or moved and self.fits(proxies, AT_ONCE if self.crowded else LEVELS):
                 self.levels[route] = quota
                 self.out.admit(None, (route,), quota, PROOF)
-                self.charge(proxies)
+                self.channel.charge(proxies)
 
     def reached(self, route):
         """The part of a route's rates that is meant for backends with a line that is not withdrawn."""
-        rates = [(t, b in self.tables[table] and not self.backends[b].out) for table, r, _ in self.layout()
-                 if r == route for b, t in self.theta.get(table, {}).items()]
+        rates = [(t * self.here.get(table, 1.0), b in self.tables[table] and not self.backends[b].out)
+                 for table, routes, *_ in self.layout if route in routes
+                 for b, t in self.theta.get(table, {}).items()]
         whole, part = sum(t for t, _ in rates), sum(t for t, there in rates if there)
         return part / whole if part < (1.0 - FINE) * whole else 1.0
 
@@ -624,7 +627,7 @@
         for b in fresh[:REFUGE] if 2 * len(able & set(self.refuge)) < REFUGE else ():
             if self.fits(users, NEW):
                 self.out.line(table, b, 1.0)
-                self.charge(users)
+                self.channel.charge(users)
                 self.refuge.append(b)
         out = sum(self.backends[b].out for b in self.refuge)
         for p, routes in waiting.items() if self.refuge else ():
@@ -633,24 +636,28 @@
             if routes and not proxy.sheltered and self.fits([proxy], NEW, cost):
                 self.out.bind(p, table, routes)
                 proxy.sheltered = True
-                self.charge([proxy], cost)
+                self.channel.charge([proxy], cost)
 
     def binding(self, lines, proxy, out=None):
-        brought = 0 if proxy.bound or proxy.sheltered else proxy.brought  # the first lets them back
+        brought = 0 if proxy.bound or proxy.sheltered else min(proxy.brought, len(lines))  # lets them back
         out = sum(self.backends[b].out for b in lines) if out is None else out
         return 1 + len(self.boot.routes) + len(lines) + out + brought
 
     def join(self):
         """Binds proxies to the shared tables, after withdrawals and lines of what has none."""
         if not self.users.waiting:
+            self.crowded = False
             while self.refuge:
                 self.out.line(len(self.boot.routes) * (1 + self.boot.zones), self.refuge.pop(), 0.0)
             return
         demands, wanted, waiting = self.demands(), [], {}
         out, running = len(self.lately()), self.running().values()
         strange = self.fleet is None or sum(not x.calls for x in running) > NEWCOMERS * len(running)
+        if self.sections:
+            self.deal()
+            return
         laid = [(t, route, zone, len(self.tables[t]))
-                for t, route, zone in self.layout() if self.tables.get(t)]
+                for t, (route,), zone, _ in self.layout if self.tables.get(t)]
         shelter = self.say_at is None and out > AT_RISK * (out + len(running))
         least = 1 + len(self.boot.routes) + min((lines for *_, lines in laid), default=0)
         if not laid or not shelter and self.full(least):
@@ -673,27 +680,39 @@
                 continue
             self.out.bind(p, table, (route,))
             self.users.bind(p, proxy, table)
-            self.charge([proxy], cost)
-            proxy.cost -= self.spent.get(table, 0)  # lines of this round went to those that were bound before
+            self.channel.charge([proxy], cost)
+            self.channel.bound(proxy, (table,))
         if waiting and shelter:
             self.shelter(waiting)
 
+    def deal(self):
+        """Binds who waits to the section that has the most room, in the order of joining."""
+        self.crowded = False
+        for p, proxy in list(islice(self.users.waiting.items(), int(self.boot.backlog // self.head))):
+            section = min(range(self.sections), key=lambda s: self.burden[s][0] / self.burden[s][1])
+            tables = self.layout.at(section, proxy.zone)
+            if not all(self.tables.get(table) for table, _ in tables):
+                break
+            lines = [b for table, _ in tables for b in self.tables[table]]
+            cost = self.binding(lines, proxy) + len(tables)
+            self.crowded = self.channel.queue + self.head + cost > self.room(BINDINGS, 1)
+            if self.crowded:
+                break
+            for table, routes in tables:
+                self.out.bind(p, table, tuple(routes))
+                self.users.bind(p, proxy, table)
+            self.channel.charge([proxy], cost)
+            self.channel.bound(proxy, [table for table, _ in tables])
+            self.burden[section][0] += proxy.calls()
+
     def full(self, least):
         """Whether no binding may go now, the smallest and cheapest among them."""
         return (self.lacking or self.behind or self.say_at is not None
-                or self.queue + least > self.room(BINDINGS, 1))
+                or self.channel.queue + least > self.room(BINDINGS, 1))
 
     def post(self):
-        written = {p: proxy.cost + sum(lines for table, lines in self.spent.items() if table in proxy.bound)
-                   for p, proxy in self.charged.items()}
-        if written:
+        reached = ()
+        if self.channel.charged:
             self.mark = (self.mark + 1) % 65536
             reached = self.out.mark(self.mark)
-            for p in written.keys() - (written.keys() if reached is None else reached):
-                self.queue -= written.pop(p)  # it knows all that already, and will acknowledge nothing
-            self.owed.append((self.mark, written))
-        most = self.boot.messages_most
-        for p, proxy in self.charged.items():
-            proxy.sent = [*proxy.sent[1 - most:], self.now] if most and p in written else proxy.sent
-            proxy.cost = 0
-        self.charged, self.spent = {}, {}
+        self.channel.post(self.mark, reached, self.now, self.boot.messages_most)
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -66,7 +66,9 @@
                 entries = entries + [(name, "gone", 0, 0, 1.0, 0) for name in self.names.index if name not in named]
         for name, state, *_ in entries:
             self.log.info("listed", scope=scope, uid=name, state=state)
-        self.told(("listed", scope, [(self.names(name), *rest) for name, *rest in entries]))
+        known = [(self.names(name), *rest) for name, *rest in entries]
+        self.streams.listed(scope, known)
+        self.told(("listed", scope, known))
 
     def joined(self, connection, zone, typical, standing):
         self.strangers.pop(connection, None)
--- a/cranecleat/tallies/users.py
+++ b/cranecleat/tallies/users.py
@@ -2,10 +2,10 @@
 
 
 class Users:
-    """`routes`: a proxy that is bound to fewer tables waits."""
+    """`tables_each`: a proxy that is bound to fewer tables waits."""
 
-    def __init__(self, routes):
-        self.routes = routes
+    def __init__(self, tables_each):
+        self.tables_each = tables_each
         self.tables, self.waiting, self.bare = {}, {}, set()  # table -> {p: proxy}; p -> proxy; not bound at all
 
     def join(self, p, proxy):
@@ -22,7 +22,7 @@
         proxy.bound.add(table)
         self.tables.setdefault(table, {})[p] = proxy
         self.bare.discard(p)
-        if len(proxy.bound) >= self.routes:
+        if len(proxy.bound) >= self.tables_each:
             self.waiting.pop(p, None)
 
     def of(self, table):
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -201,7 +201,7 @@
         for _ in range(4):
             scene.tell(after=0.25)
             scene.join(1)
-    assert set(range(8, 12)) <= set(scene.planner.tables[0]) and scene.planner.queue <= 1000
+    assert set(range(8, 12)) <= set(scene.planner.tables[0]) and scene.planner.channel.queue <= 1000
     same("crowd_release", scene)
 
 
@@ -209,7 +209,7 @@
     """Weights may fill half of the backlog while proxies wait for bindings; levels have room beyond that."""
     scene = stage("admit")
     scene.say("0.55 of the backlog waits, and answers get slow")
-    scene.planner.queue += 0.55 * scene.planner.boot.backlog
+    scene.planner.channel.queue += 0.55 * scene.planner.boot.backlog
     for _ in range(3):
         scene.second(ALL, calls=80, took=0.9)
     same("jam_behind_weights", scene)
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -98,9 +98,15 @@
     desk.flush()
     desk.streams.bind(0, 1, (1,))
     desk.flush()
+    desk.say("3, which no table names, has been restarted before the list that was held at the start, 0 has not")
+    desk.streams.listed("held", [(b, "running", 0, 0, 1.0, 90 * SECOND * (b == 3)) for b in range(4)])
+    desk.streams.listed("changes", [(b, "gone", 0, 0, 1.0, 0) for b in (1, 2)])
     desk.say(f"may hold {desk.join(5, standing=False)}: it was another coordinator's, or an earlier life's")
     desk.streams.bind(5, 0, (0, 1))
     desk.flush()
+    desk.say("3 comes into its table and is let back there")
+    desk.streams.line(0, 3, 1.0)
+    desk.flush()
     same("orders_brought", desk.text)
 
 
@@ -118,13 +124,13 @@
         out = Desk(3).streams if one is earlier else desk.streams
         out.join(1, object(), 20.0, True)
         one.round(100 * SECOND, [("listed", "held", [(0, "running", 0, 0, 1.0, 0)]), ("joined", 1, 0, 20.0, True)], out)
-        assert one.queue > 0
-    before = planner.queue
+        assert one.channel.queue > 0
+    before = planner.channel.queue
     marks = [earlier.mark, planner.mark - 1, planner.mark + 1]
     planner.round(101 * SECOND, [("applied", 1, mark) for mark in marks], desk.streams)
-    assert planner.queue >= before
-    planner.round(101 * SECOND, [("applied", 1, planner.owed[-1][0])], desk.streams)
-    assert planner.queue == 0
+    assert planner.channel.queue >= before
+    planner.round(101 * SECOND, [("applied", 1, planner.channel.owed[-1][0])], desk.streams)
+    assert planner.channel.queue == 0
 
 
 class Proxy:
@@ -164,6 +170,7 @@
             b = draw.pop() % 8
             state[b] = {"running": "draining", "draining": "gone", "gone": "running"}[state[b]]
             calls.append(("listed", "changes", [(b, state[b], 0, 0, 1.0, now if state[b] == "running" else 0)]))
+            desk.streams.listed(*calls[-1][1:])
         if draw[-2] % 4 == 0:
             p, standing = draw.pop() % 6, draw.pop() % 2 == 0
             proxies[p] = Proxy() if standing or p not in proxies else proxies[p]
@@ -182,7 +189,8 @@
         calls += [("came", p, r, 10, SECOND // 4) for p in desk.streams.joined for r in (0, 1)]
         planner.round(now, calls, desk.streams)
         mark = desk.streams.stamp
-        counted = dict(planner.owed[-1][1]) if planner.owed and planner.owed[-1][0] == mark else {}
+        owed = planner.channel.owed
+        counted = dict(owed[-1][1]) if owed and owed[-1][0] == mark else {}
         calls = []
         for p, message in desk.flush().items():
             proxies[p].apply(message)
@@ -213,8 +221,9 @@
         calls += [("joined", p, 0, 20.0, True, desk.join(p)) for p in come]
         planner.round(now, calls, desk.streams)
         mark, sent = desk.streams.stamp, desk.flush()
-        assert set(planner.owed[-1][1] if planner.owed and planner.owed[-1][0] == mark else ()) <= set(sent)
-        queues.append(round(planner.queue))
+        owed = planner.channel.owed
+        assert set(owed[-1][1] if owed and owed[-1][0] == mark else ()) <= set(sent)
+        queues.append(round(planner.channel.queue))
         calls, now = [("applied", p, mark) for p in sent], now + SECOND // 4
     bound = sum(bool(p.bound) for p in planner.proxies.values())
     same("orders_known", [f"lines that wait: {queues}", f"bound: {bound}"])
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -82,7 +82,7 @@
     scene.join(*range(8))
     scene.tell(after=0.1)
     scene.say("the first has its table")
-    scene.tell(("applied", 0, scene.planner.owed[0][0]), after=0.1)
+    scene.tell(("applied", 0, scene.planner.channel.owed[0][0]), after=0.1)
     same("rule_5", scene)
 
 
@@ -132,5 +132,5 @@
     scene.join(20, after=0.1)
     scene.tell(after=0.3)
     scene.tell(after=0.7)
-    scene.say(f"behind: {scene.planner.behind}, lines that wait: {scene.planner.queue:.0f}")
+    scene.say(f"behind: {scene.planner.behind}, lines that wait: {scene.planner.channel.queue:.0f}")
     same("rule_3_again", scene)
--- /dev/null
+++ b/tests/test_sections.py
@@ -0,0 +1,166 @@
+"""Fleets whose full tables no channel could bring in time: sections, and rule 3 through a channel of a stated pace."""
+
+import zlib
+from collections import Counter, deque
+from dataclasses import replace
+
+import pytest
+
+from cranecleat.policy import Planner
+from scene import BOOT, SECOND, Desk, Scene, cost, same
+from test_orders import Proxy
+
+FLEET = {"proxies": 200, "pace": 600.0, "backlog": 6000, "grace": 10 * SECOND, "cold": 17 * SECOND}
+STEP, LATE = SECOND // 20, 3 * SECOND // 10  # of the scene; what the rules add on sockets
+
+
+class Wire:
+    """A coordinator, its channel at the pace of the settings, and proxies that hold what has reached them."""
+
+    def __init__(self, backends, **figures):
+        self.boot = replace(BOOT, **{**FLEET, **figures})
+        self.now, self.told, self.state = 100 * SECOND, {}, {b: "running" for b in range(backends)}
+        self.proxies, self.since, self.worst, self.peak, self.cost = {}, {}, 0, 0, Counter()
+        self.start()
+
+    def start(self):
+        """Also anew: it knows the list as it is now, and nothing else."""
+        self.desk, self.planner, self.sending, self.credit = Desk(0), Planner(self.boot, 7), deque(), 0.0
+        self.since, self.calls = {}, []
+        self.list(self.state, "held")
+
+    def list(self, states, scope="changes"):
+        for b, state in states.items():
+            if (state == "running") != (self.state.get(b) == "running"):
+                self.told[b] = self.now
+            self.state[b] = state
+        known = [(self.desk.names(f"s-{b}"), state, b % 2, 0, 1.0, 0) for b, state in states.items()]
+        self.desk.streams.listed(scope, known)
+        self.calls.append(("listed", scope, known))
+
+    def join(self, p, draw=0):
+        """With six backends that it drew at its start, or with what it was ordered elsewhere."""
+        standing = p not in self.proxies
+        if standing:
+            one, up = Proxy(), [b for b, state in self.state.items() if state == "running"]
+            for table in one.tables.values():
+                table.update({f"s-{up[(draw + 13 * i) % len(up)]}": 1.0 for i in range(6)})
+            self.proxies[p] = one
+        self.since[p] = self.now
+        self.sending = deque(entry for entry in self.sending if entry[0] != p)
+        self.calls.append(("joined", p, p % 2, 5.0, standing, self.desk.join(p, standing)))
+
+    def leave(self, p):
+        if self.since.pop(p, None) is not None:
+            self.desk.streams.leave(p, self.desk.streams.joined[p].connection)
+            self.calls.append(("left", p))
+
+    def step(self):
+        calls, self.calls, self.now = self.calls, [], self.now + STEP
+        self.credit = min(self.credit + self.boot.pace * STEP / SECOND, self.boot.pace) if self.sending else 0.0
+        while self.sending and self.sending[0][1] <= self.credit:
+            p, lines, message, mark = self.sending.popleft()
+            self.credit -= lines
+            if p in self.since:
+                self.proxies[p].apply(message)
+                calls.append(("applied", p, mark))
+        self.planner.round(self.now, calls, self.desk.streams)
+        mark = self.desk.streams.stamp
+        self.sending += [(p, cost(text, self.boot.head), text, mark) for p, text in self.desk.flush().items()]
+        self.peak = max(self.peak, sum(lines for _, lines, *_ in self.sending))
+        self.check()
+
+    def check(self):
+        for p, since in self.since.items():
+            one = self.proxies[p]
+            held = set().union(*one.tables.values()) - one.shut
+            late = [self.now - max(self.told[b], since) for b, state in self.state.items()
+                    if state != "running" and f"s-{b}" in held]
+            self.worst = max(self.worst, *late, 0)
+
+    def play(self, seconds):
+        for _ in range(round(seconds * SECOND / STEP)):
+            self.step()
+
+
+def test_a_small_fleet_keeps_one_table_a_route():
+    planner = Planner(replace(BOOT, proxies=200), 7)
+    planner.round(100 * SECOND, [("listed", "held", [(b, "running", 0, 0, 1.0, 0) for b in range(4)])], Scene(verbs=()))
+    assert not planner.sections and sorted(planner.tables) == [0, 1]
+
+
+def test_a_fleet_that_no_channel_could_bring_full_tables_is_parted():
+    wire = Wire(80)
+    for p in range(200):
+        wire.join(p, 7 * p)
+    wire.play(11)
+    planner = wire.planner
+    where = Counter(b for lines in planner.tables.values() for b in lines)
+    users = sorted(len(planner.users.of(table)) for table in planner.tables)
+    assert set(where) == set(range(80)) and set(where.values()) == {2}
+    assert all(len(one.bound) == 1 for one in planner.proxies.values())
+    assert all(one.tables["read"] == one.tables["find"] for one in wire.proxies.values())
+    same("sections", [f"sections {planner.sections}, lines of a table {sorted(map(len, planner.tables.values()))}",
+                      f"users of a table {users}", f"waiting {len(planner.users.waiting)}",
+                      f"most that waited in the channel {wire.peak} of {wire.boot.backlog}"])
+
+
+def test_a_release_while_hundreds_wait_for_bindings():
+    """Withdrawing 48 backends from 200 proxies that still wait takes more lines than binding them."""
+    wire = Wire(80)
+    for p in range(200):
+        wire.join(p, 7 * p)
+    wire.play(2)
+    for first in (0, 24):
+        wire.list({80 + b: "running" for b in range(first, first + 24)})
+        wire.play(1)
+        wire.list({b: "draining" for b in range(first, first + 24)})
+        wire.play(2)
+    wire.play(12)
+    print(wire.worst, wire.peak)
+    assert wire.worst <= wire.boot.grace + LATE and wire.peak <= wire.boot.backlog
+
+
+def test_all_proxies_of_the_others_come_amid_a_release():
+    wire = Wire(80)
+    for p in range(40):
+        wire.join(p, 7 * p)
+    wire.play(4)
+    wire.list({b: "draining" for b in range(0, 24)})
+    for p in range(40, 200):  # with tables that others had ordered
+        wire.proxies[p] = Proxy()
+        for table in wire.proxies[p].tables.values():
+            table.update({f"s-{(p + 5 * i) % 80}": 1.0 for i in range(16)})
+        wire.join(p)
+    wire.play(1.5)
+    wire.list({b: "draining" for b in range(24, 40)})
+    wire.play(14)
+    print(wire.worst, wire.peak)
+    assert wire.worst <= wire.boot.grace + LATE and wire.peak <= wire.boot.backlog
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_who_may_hold_a_line_of_what_leaves_loses_it_within_the_grace_whatever_comes(seed):
+    """Any order of joins, leaves, releases and restarts; a release takes a quarter of the fleet in 2 s at the most."""
+    wire, draws = Wire(60, proxies=120), iter(zlib.crc32(f"{seed}:{i}".encode()) for i in range(10**6))
+    fresh = 60
+    for second in range(24):
+        for _ in range(next(draws) % 40 if second < 12 else next(draws) % 6):
+            wire.join(next(draws) % 120, next(draws))
+        for _ in range(next(draws) % 4):
+            wire.leave(next(draws) % 120)
+        if second % 2 == 0 and second < 16:
+            up = [b for b, state in wire.state.items() if state == "running"]
+            some = [up[next(draws) % len(up)] for _ in range(next(draws) % 15)]
+            wire.list({fresh + i: "running" for i in range(len(some))})
+            wire.list({b: "draining" if b % 3 else "gone" for b in some})
+            fresh += len(some)
+        if next(draws) % 9 == 0:
+            joined = list(wire.since)
+            wire.start()
+            for p in joined:
+                wire.join(p)
+        wire.play(1)
+    wire.play(12)
+    print(seed, wire.worst, wire.peak)
+    assert wire.worst <= wire.boot.grace + LATE and wire.peak <= wire.boot.backlog
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -111,12 +111,13 @@
             scene.second(range(4), calls=40 + p)
         else:
             scene.tell(*(("applied", q, mark) for mark in scene.marks for q in list(planner.proxies)))
-        owed = sum(sum(lines.values()) for _, lines in planner.owed)
-        assert abs(planner.queue - owed) < 1e-6
+        owed = sum(sum(lines.values()) for _, lines in planner.channel.owed)
+        assert abs(planner.channel.queue - owed) < 1e-6
         proxies = planner.proxies
         assert set(planner.users.waiting) == {q for q, one in proxies.items() if len(one.bound) < len(BOOT.routes)}
         assert planner.users.bare == {q for q, one in proxies.items() if not one.bound}
         for table in planner.tables:
             assert set(planner.users.tables.get(table, ())) == {q for q, one in proxies.items() if table in one.bound}
         close(planner.demand.all(), sum(one.calls() for one in proxies.values()))
-        assert not planner.charged and not planner.spent and not any(one.cost for one in proxies.values())
+        assert not planner.channel.charged and not planner.channel.spent
+        assert not any(one.cost for one in proxies.values())
