A spell is no shorter than the stated intake of reports allows

At fault: came(), which learns the spell from what lines that came cover, a 1/2,000 a line, from 1.0: those still to come are never counted.

Change: a turn's spell is the learned one or the due lines over the stated intake, whichever is more.

The new test fails without the change (backend 7 at 7 s, not 15: seen).

--- a/cranecleat/door.py
+++ b/cranecleat/door.py
@@ -61,6 +61,7 @@
             cold=micros(rules["cold"]),
             cold_from=float(rules["coldFrom"]),
             proxies=int(special.get("proxyCount", 0)),
+            intake=float(special.get("intakePerS", 0)),
         )
     except KeyError as missing:
         raise Malformed(f"the start message lacks {missing.args[0]!r}") from None
--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -40,6 +40,7 @@
     cold: int  # a backend is warm this long after its start
     cold_from: float  # and starts at this share of its capacity or more
     proxies: int = 0  # of the deployment
+    intake: float = 0.0  # lines of reports a second that get through; 0: not stated
 
 
 class Writer(Protocol):
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -73,8 +73,7 @@
         self.backends, self.proxies, self.paces = {}, {}, {}  # zone -> factor of what its proxies served
         self.demand, self.users = Demand(len(bootstrap.routes)), Users(len(bootstrap.routes))
         self.channel, self.layout = Channel(self.head), Layout(bootstrap.routes, bootstrap.zones)
-        self.tables, self.levels = {}, {}  # table -> {backend: weight}, route -> level: as sent
-        self.theta = {}  # table -> {backend: multiplier}
+        self.tables, self.levels, self.theta = {}, {}, {}  # by table, by route, by table
         self.sections, self.homes = 0, {}  # parts of the fleet with tables of their own; backend -> its part
         self.here, self.burden = {}, []  # table -> part of the demand; section -> [users' calls, capacity]
         self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
@@ -103,6 +102,7 @@
         while self.due and self.due[0][0] <= now:
             heappop(self.due)[2]()
         if turn:
+            self.spell = self.lap()
             self.forget()
             self.judge()
             self.learn()
@@ -254,6 +254,11 @@
     def running(self):
         return {b: x for b, x in self.backends.items() if x.state == "running"}
 
+    def lap(self):
+        """Cycles in which all lines come round: as learned, and no less than the stated intake allows."""
+        lines = len(self.proxies) * len(self.boot.routes) + self.demand.occupied() * len(self.running())
+        return max(self.spell, lines * 1e6 / self.boot.intake / self.boot.cycle if self.boot.intake else 0.0)
+
     def judge(self):
         """Shuts out what by the others' answers owes more than chance can account for; late reports stop
         these too. Could do harm where one zone's fall behind: hence the cap; one answer brings it back."""
@@ -535,9 +540,8 @@
 
     def fits(self, users, part, lines=1, table=None):
         """Rule 5: whether an order that can wait may go; half of the counted messages is for the rest."""
-        most, since = self.boot.messages_most, self.now - self.boot.messages_over
-        if part < OUT and (self.behind or most and
-                           any(2 * sum(at > since for at in p.sent) >= most for p in users)):
+        pressed = self.channel.pressed(users, self.now - self.boot.messages_over, self.boot.messages_most)
+        if part < OUT and (self.behind or pressed):
             return False
         more = lines * len(users) + self.head * self.channel.heads(users, table)
         return self.channel.queue + more <= self.room(part, len(users))
@@ -645,8 +649,8 @@
 
     def join(self):
         """Binds proxies to the shared tables, after withdrawals and lines of what has none."""
+        self.crowded = False
         if not self.users.waiting:
-            self.crowded = False
             while self.refuge:
                 self.out.line(len(self.boot.routes) * (1 + self.boot.zones), self.refuge.pop(), 0.0)
             return
@@ -687,14 +691,12 @@
 
     def deal(self):
         """Binds who waits to the section that has the most room, in the order of joining."""
-        self.crowded = False
         for p, proxy in list(islice(self.users.waiting.items(), int(self.boot.backlog // self.head))):
             section = min(range(self.sections), key=lambda s: self.burden[s][0] / self.burden[s][1])
             tables = self.layout.at(section, proxy.zone)
             if not all(self.tables.get(table) for table, _ in tables):
                 break
-            lines = [b for table, _ in tables for b in self.tables[table]]
-            cost = self.binding(lines, proxy) + len(tables)
+            cost = len(tables) + self.binding([b for table, _ in tables for b in self.tables[table]], proxy)
             self.crowded = self.channel.queue + self.head + cost > self.room(BINDINGS, 1)
             if self.crowded:
                 break
--- a/cranecleat/tallies/channel.py
+++ b/cranecleat/tallies/channel.py
@@ -17,6 +17,10 @@
             self.counted[key] = sum(p.number not in self.charged for p in proxies)
         return self.counted[key]
 
+    def pressed(self, proxies, since, messages_most):
+        """Whether one of them was sent half of the messages that are counted, or more."""
+        return bool(messages_most) and any(2 * sum(at > since for at in p.sent) >= messages_most for p in proxies)
+
     def charge(self, proxies, lines=1):
         for p in proxies if lines else ():
             added = lines + (0 if p.number in self.charged else self.head)
--- a/cranecleat/tallies/demand.py
+++ b/cranecleat/tallies/demand.py
@@ -104,6 +104,10 @@
     def in_zone(self, zone):
         return self.zones.get(zone, 0) / UNIT
 
+    def occupied(self):
+        """How many zones have proxies with calls."""
+        return sum(calls > 0 for calls in self.zones.values())
+
     def typical(self, zone=None):
         """What proxies call typical, of one zone or of all."""
         return (sum(self.typicals.values()) if zone is None else self.typicals.get(zone, 0)) / UNIT
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -164,3 +164,16 @@
     wire.play(12)
     print(seed, wire.worst, wire.peak)
     assert wire.worst <= wire.boot.grace + LATE and wire.peak <= wire.boot.backlog
+
+
+def test_silence_is_counted_in_laps_of_the_stated_intake():
+    """Lines of 40 proxies and 20 backends come round in five seconds; one backend never answers."""
+    scene = Scene(verbs=("log",), intake=20.0, zones=1)
+    scene.list(*((b, "running", None) for b in range(20)))
+    scene.join(*range(40))
+    for second in range(30):
+        heard = [b for b in range(20) if b % 5 == second % 5 and b != 7]
+        met = [("met", b, 0, 100, 0, SECOND // 10, 5 * SECOND, None) for b in heard]
+        usage = [("came", p, r, 25, 5 * SECOND) for p in range(40) if p % 5 == second % 5 for r in (0, 1)]
+        scene.tell(*met, *usage, after=1.0)
+    same("sections_laps", scene)
