--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -41,7 +41,7 @@
 AT_RISK, REFUGE = 0.2, 12  # part of the known backends gone, backends in the table for proxies that wait
 GATHER, LATELY, REST = 0.12, 5, 20  # graces: to gather withdrawals; said to who comes; what went is forgotten
 # Sections: shares of the proxies that one may have to serve; of a grace, to bind these all; lines of a table.
-REACH, BOUND_IN, FEWEST, MOST = 4, 0.7, 8, 30
+REACH, BOUND_IN, FEWEST, MOST = 5, 0.7, 8, 30
 
 
 def waterfill(demands, weights, paths, capacity):
