What comes back is charged to who was told of its leaving; ordinary tables let back as before

Need: a message must never cost more than the planner counted (rule 5). Random lists, joins and rounds against the planner and Streams (tests/test_sections.py, in short) found messages that did: in sections "undrop=s-83 part=1" beside a line taken out, 13 lines for 12 counted, as bar() charged nobody for what comes back, also where its line had gone out, withdrawn, in an earlier round; in ordinary tables 102 for 101, as counted what a first binding lets back by its lines only while Streams kept the rest for later. At fault: holders in bar(), binding(); Streams.shutting.

Change: `said` is when somebody was told to shut a backend out; what comes back is charged to all where that was in an earlier round. A binding says whether it is narrow (of a section): only then is what the proxy brings let back by its tables, else all at once, as before the sections. A setting that is null (proxyCount, intakePerS) is none and refuses no start.

--- a/cranecleat/door.py
+++ b/cranecleat/door.py
@@ -60,8 +60,8 @@
             grace=micros(rules["stopSendingWithin"]),
             cold=micros(rules["cold"]),
             cold_from=float(rules["coldFrom"]),
-            proxies=int(special.get("proxyCount", 0)),
-            intake=float(special.get("intakePerS", 0)),
+            proxies=int(special.get("proxyCount") or 0),
+            intake=float(special.get("intakePerS") or 0),
         )
     except KeyError as missing:
         raise Malformed(f"the start message lacks {missing.args[0]!r}") from None
--- a/cranecleat/files/front.py
+++ b/cranecleat/files/front.py
@@ -34,8 +34,8 @@
         self.streams.line(table, backend, weight)
         self.ledger.line(table, backend, weight)
 
-    def bind(self, proxy, table, routes):
-        (self.ledger if proxy in self.ledger.seats else self.streams).bind(proxy, table, routes)
+    def bind(self, proxy, table, routes, narrow=False):
+        (self.ledger if proxy in self.ledger.seats else self.streams).bind(proxy, table, routes, narrow)
 
     def withdraw(self, backend, out):
         self.streams.withdraw(backend, out)
--- a/cranecleat/files/ledger.py
+++ b/cranecleat/files/ledger.py
@@ -67,7 +67,7 @@
         self.touched.add(table)
         self.shared = True
 
-    def bind(self, proxy, table, routes):
+    def bind(self, proxy, table, routes, narrow=False):
         seat = self.seats.get(proxy)
         if seat:
             seat.bound.update(dict.fromkeys(routes, table))
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -10,7 +10,7 @@
 class Stream:
     def __init__(self, connection, typical, ever, brought, place):
         self.connection, self.typical = connection, typical  # its calls a second, as it said
-        self.place = place  # in the order of joining, in which messages go out
+        self.place, self.narrow = place, False  # in the order of joining, in which messages go out; see `bind`
         self.bound = {}  # route -> table
         self.shut, self.ever = set(), ever  # backends shut out on this stream, and on any of the proxy's
         self.brought = brought  # those that it may still shut out from earlier ones
@@ -81,9 +81,10 @@
             del lines[backend]
         self.lines.setdefault(table, {})[backend] = weight
 
-    def bind(self, proxy, table, routes):
+    def bind(self, proxy, table, routes, narrow=False):
+        """`narrow`: what the proxy brings shut out is let back where a table names it, not all at once."""
         if proxy in self.joined:
-            bound = self.joined[proxy].bound
+            self.joined[proxy].narrow, bound = narrow, self.joined[proxy].bound
             for route in routes:
                 before, bound[route] = bound.get(route), table
                 if before is not None and before not in bound.values():
@@ -161,9 +162,9 @@
             if route in fresh or {(None, route), (table, route)} & self.admitted:
                 levels.setdefault(self.level(table, route), []).append(route)
         parts += [self.once(assign, self.named(routes), level=level) for level, routes in levels.items() if level]
-        told = stream.shut or stream.brought
+        told = stream.narrow and (stream.shut or stream.brought)
         changed = self.shuts or told and not self.lines.keys().isdisjoint(stream.bound.values())
-        return parts + (self.shutting(stream) if fresh or changed else [])
+        return parts + (self.shutting(stream, bool(fresh)) if fresh or changed else [])
 
     def rows(self, table, routes, new):
         lines = self.tables.get(table, {}) if new else self.lines[table]
@@ -177,15 +178,16 @@
         both = [self.levels[key] for key in ((None, route), (table, route)) if key in self.levels]
         return (min(level for level, _ in both), both[-1][1]) if both else None
 
-    def shutting(self, stream):
-        """A proxy keeps to what is withdrawn here: the rest that it may shut out is let back once a table names it."""
+    def shutting(self, stream, bound):
+        """A proxy that was bound keeps to what is withdrawn here: the rest that it may hold is let back."""
         tables = frozenset(stream.bound.values())
         if tables not in self.held:
             self.held[tables] = {b for table in tables for b in self.tables.get(table, ())}
         held = self.held[tables]
         loose = len(stream.bound) < len(self.routes)  # for some routes its lines are not known
         out = sorted(b for b in self.out - stream.shut if b in held or loose and b in self.moved)
-        back = sorted(b for b in (stream.shut | stream.brought) - self.out if b in held or loose and b in self.moved)
+        back = sorted(b for b in (stream.shut | stream.brought) - self.out if (
+            b in held or loose and b in self.moved if stream.narrow else bound or b in self.moved))
         stream.shut.update(out)
         stream.ever.update(out)
         stream.shut.difference_update(back)
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -81,9 +81,8 @@
         self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
         self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
-        self.due, self.next_turn, self.asks = [], None, 0
+        self.due, self.next_turn, self.asks, self.tally = [], None, 0, [0] * 3  # tries, answered, took
         self.mark = zlib.crc32(f"{seed}:mark".encode()) % 65536  # unlike an earlier life's
-        self.tally = [0] * 3  # of one turn's reports: tries, answered, time taken by answers
         self.spell, self.level = 1.0, 1.0  # cycles in which all lines come round; how far backends fill
         # The list has changed; orders wait; backends that run have no line; bindings to sections wait.
         self.changed = self.owed = self.lacking = self.crowded = False
@@ -153,8 +152,7 @@
             self.later(int(GATHER * self.boot.grace), lambda: setattr(self, "changed", True))
 
     def forget(self):
-        """What has been gone for long and stands in no table is forgotten by all parts at once. Could do harm
-        where it comes back under its old id: a proxy that has been away since may still shut it out."""
+        """All parts forget at once what has long gone. Harm: back under its id, proxies may shut it out."""
         for b, x in list(self.backends.items()):
             if x.state != "gone":
                 x.left = self.now
@@ -523,7 +521,8 @@
         every message costs its head, or what fits into half a backlog. Returns those still to be said."""
         fresh = [b for b in which if self.backends[b].out != out]  # the rest is said again, to those who wait
         named = any(b in lines for b in fresh for lines in self.tables.values())
-        holders = (self.proxies if named and not self.sections else self.users.waiting).values()
+        named = named and (not self.sections or any(0 < self.backends[b].said < self.now for b in which))
+        holders = (self.proxies if named else self.users.waiting).values()
         since = 0 if fresh else min((self.backends[b].said for b in which), default=0)
         holders = [p for p in holders if p.since >= since]  # who was here then knows
         space = part * self.boot.backlog - self.channel.queue
@@ -532,7 +531,8 @@
         if full or part < OUT and not self.fits(holders, part, len(which)):
             return which
         for b in which[:space]:
-            self.backends[b].out, self.backends[b].said = out, self.now
+            said = self.now if holders else self.backends[b].said
+            self.backends[b].out, self.backends[b].said = out, said if out else 0
             self.out.withdraw(b, out)
         self.channel.charge(holders, len(which[:space]))
         return which[space:]
@@ -584,6 +584,7 @@
             if not weight:
                 del self.tables[table][b]
             self.out.line(table, b, weight)
+            self.backends[b].said = self.backends[b].said or self.now * self.backends[b].out
             more = self.backends[b].out or self.sections and weight and any(p.brought for p in users)
             self.channel.charge_users(table, 1 + bool(more), users)  # it may be shut out or let back as well
         back = [b for b, x in self.backends.items() if x.out and x.state == "running" and b not in unplaced]
@@ -641,7 +642,8 @@
                 self.channel.charge([proxy], cost)
 
     def binding(self, lines, proxy, out=None):
-        brought = 0 if proxy.bound or proxy.sheltered else min(proxy.brought, len(lines))  # lets them back
+        most = len(lines) if self.sections else proxy.brought
+        brought = 0 if proxy.bound or proxy.sheltered else min(proxy.brought, most)  # let back
         out = sum(self.backends[b].out for b in lines) if out is None else out
         return 1 + len(self.boot.routes) + len(lines) + out + brought
 
@@ -656,8 +658,7 @@
         out, running = len(self.lately()), self.running().values()
         strange = self.fleet is None or sum(not x.calls for x in running) > NEWCOMERS * len(running)
         if self.sections:
-            self.deal()
-            return
+            return self.deal()
         laid = [(t, route, zone, len(self.tables[t]))
                 for t, (route,), zone, _ in self.layout if self.tables.get(t)]
         shelter = self.say_at is None and out > AT_RISK * (out + len(running))
@@ -699,7 +700,7 @@
             if self.crowded:
                 break
             for table, routes in tables:
-                self.out.bind(p, table, tuple(routes))
+                self.out.bind(p, table, tuple(routes), True)
                 self.users.bind(p, proxy, table)
             self.channel.charge([proxy], cost * bool(tables))
             self.channel.bound(proxy, [table for table, _ in tables])
--- a/cranecleat/rehearsal/edge.py
+++ b/cranecleat/rehearsal/edge.py
@@ -67,7 +67,7 @@
             del lines[backend]
         self.lines.append((table, backend, weight))
 
-    def bind(self, proxy, table, routes):
+    def bind(self, proxy, table, routes, narrow=False):
         for route in routes:
             self.bound.setdefault(proxy, {})[route] = table
             self.fresh.setdefault(proxy, set()).add(route)
--- a/cranecleat/tallies/known.py
+++ b/cranecleat/tallies/known.py
@@ -5,7 +5,7 @@
     def __init__(self):
         self.state, self.zone, self.kind, self.size, self.started = "gone", 0, 0, 1.0, 0
         self.out, self.told, self.left = False, 0, 0  # withdrawn; since when it should be; when last not gone
-        self.said = 0  # when it was withdrawn last
+        self.said = 0  # when somebody was told to shut it out last
         self.forget()
 
     def forget(self):
--- a/cranecleat/wirehost/codec.py
+++ b/cranecleat/wirehost/codec.py
@@ -73,7 +73,7 @@
     def clear(self, table):
         self.put("empty", routeTable=table)
 
-    def bind(self, proxy, table, routes):
+    def bind(self, proxy, table, routes, narrow=False):
         self.put("subscribeTo", sidecar=proxy, routeTable=table, classes=self.bits(routes))
 
     def withdraw(self, backend, out):
--- a/tests/test_orders.py
+++ b/tests/test_orders.py
@@ -102,7 +102,7 @@
     desk.streams.listed("held", [(b, "running", 0, 0, 1.0, 90 * SECOND * (b == 3)) for b in range(4)])
     desk.streams.listed("changes", [(b, "gone", 0, 0, 1.0, 0) for b in (1, 2)])
     desk.say(f"may hold {desk.join(5, standing=False)}: it was another coordinator's, or an earlier life's")
-    desk.streams.bind(5, 0, (0, 1))
+    desk.streams.bind(5, 0, (0, 1), narrow=True)
     desk.flush()
     desk.say("3 comes into its table and is let back there")
     desk.streams.line(0, 3, 1.0)
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -1,5 +1,6 @@
 """Fleets whose full tables no channel could bring in time: sections, and rule 3 through a channel of a stated pace."""
 
+import random
 import zlib
 from collections import Counter, deque
 from dataclasses import replace
@@ -65,8 +66,11 @@
                 self.proxies[p].apply(message)
                 calls.append(("applied", p, mark))
         self.planner.round(self.now, calls, self.desk.streams)
-        mark = self.desk.streams.stamp
-        self.sending += [(p, cost(text, self.boot.head), text, mark) for p, text in self.desk.flush().items()]
+        mark, owed = self.desk.streams.stamp, self.planner.channel.owed
+        fresh = [(p, cost(text, self.boot.head), text, mark) for p, text in self.desk.flush().items()]
+        counted = owed[-1][1] if owed and owed[-1][0] == mark else {}
+        assert all(lines <= counted.get(p, 0) for p, lines, *_ in fresh), "a message costs more than was counted"
+        self.sending += fresh
         self.peak = max(self.peak, sum(lines for _, lines, *_ in self.sending))
         self.check()
 
@@ -224,3 +228,42 @@
 
 def planner_sees(wire):
     return sum(x.state == "running" for x in wire.planner.backends.values())
+
+
+@pytest.mark.parametrize("seed", range(4, 7))
+def test_no_message_costs_more_than_was_counted_whatever_leaves_and_comes_back(seed):
+    """Lists of all kinds in any order, proxies with and without ordered tables, rounds of 2 ms to a cycle, a channel that
+    is mostly full: what is let back later, to who was told earlier, is charged then."""
+    draw = random.Random(seed)
+    boot = replace(BOOT, **{**FLEET, "pace": 100.0, "backlog": draw.choice([600, 3000, 8000])})
+    desk, planner = Desk(0), Planner(boot, seed)
+    state, joined, sent, now, fresh = {b: "running" for b in range(90)}, set(), deque(), 100 * SECOND, 90
+    told = [("held", dict(state))]
+    for _ in range(160):
+        calls = []
+        if draw.random() < 0.4:
+            some = draw.sample(list(state), draw.choice([1, 3, 20]))
+            changes = {b: draw.choice(["running", "draining", "gone"]) for b in some}
+            changes.update((fresh + i, "running") for i in range(draw.choice([0, 0, 1, 30])))
+            fresh = max(fresh, *changes) + 1
+            state.update(changes)
+            told.append(("changes", changes))
+        for scope, states in told:
+            known = [(desk.names(f"s-{b}"), now_is, b % 2, 0, 1.0, 0) for b, now_is in states.items()]
+            desk.streams.listed(scope, known)
+            calls.append(("listed", scope, known))
+        told = []
+        for p in draw.sample(range(200), draw.choice([0, 0, 1, 10, 60])):
+            standing = draw.random() < 0.5
+            calls.append(("joined", p, p % 2, 5.0, standing, desk.join(p, standing)))
+            joined.add(p)
+        for _ in range(draw.choice([0, 5, 40, 200])):
+            if sent:
+                calls.append(("applied", *sent.popleft()))
+        planner.round(now, calls, desk.streams)
+        mark, owed, now = desk.streams.stamp, planner.channel.owed, now + draw.choice([2000, 50000, 250000, SECOND])
+        counted = owed[-1][1] if owed and owed[-1][0] == mark else {}
+        for p, message in desk.flush().items():
+            assert cost(message, BOOT.head) <= counted.get(p, 0), message
+            sent.append((p, mark))
+    assert planner.sections
