--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -232,8 +232,8 @@
 
 @pytest.mark.parametrize("seed", range(4, 7))
 def test_no_message_costs_more_than_was_counted_whatever_leaves_and_comes_back(seed):
-    """Lists of all kinds in any order, proxies with and without ordered tables, rounds of 2 ms to a cycle, a channel that
-    is mostly full: what is let back later, to who was told earlier, is charged then."""
+    """Any lists in any order, proxies with and without ordered tables, rounds of 2 ms to a cycle, a full channel: what
+    is let back later, to who was told earlier, is charged then."""
     draw = random.Random(seed)
     boot = replace(BOOT, **{**FLEET, "pace": 100.0, "backlog": draw.choice([600, 3000, 8000])})
     desk, planner = Desk(0), Planner(boot, seed)
