Benchmark of sections: lines within the style's width

Need: left three lines of its head over 120 columns, so make lint failed. Change: the head is wrapped.

--- a/benchmarks/sections.py
+++ b/benchmarks/sections.py
@@ -1,11 +1,11 @@
-"""Sections at size: a start, all proxies joining at once, and the whole fleet replaced in seven seconds, through a channel
-of a stated pace.
+"""Sections at size: a start, all proxies joining at once, and the whole fleet replaced in seven seconds, through a
+channel of a stated pace.
 
     python -m benchmarks.sections [--quick] [--json]
 
-One coordinator, planner and `Streams` alone; a message takes what the planner counted for it and is acknowledged once the
-channel has sent it. `--quick` leaves the size of 2,048 backends out. CPU is of this machine. Exit code 1 where an aim is
-missed: the channel's limit kept, everybody bound, less CPU than time.
+One coordinator, planner and `Streams` alone; a message takes what the planner counted for it and is acknowledged once
+the channel has sent it. `--quick` leaves the size of 2,048 backends out. CPU is of this machine. Exit code 1 where an
+aim is missed: the channel's limit kept, everybody bound, less CPU than time.
 """
 
 import json
