--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -267,3 +267,25 @@
             assert cost(message, BOOT.head) <= counted.get(p, 0), message
             sent.append((p, mark))
     assert planner.sections
+
+
+def test_a_storms_work_grows_with_who_comes_not_faster():
+    """What is tried and made while all proxies join at once, at a pace that grows with them; counted, not timed."""
+    work = []
+    for count in (100, 200, 400):
+        wire = Wire(80, proxies=count, pace=3.0 * count, backlog=30 * count)
+        done = Counter()
+
+        def counting(owner, name, done=done):
+            act = getattr(owner, name)
+            setattr(owner, name, lambda *values, **named: (done.update([name]), act(*values, **named))[1])
+        counting(wire.planner, "binding")
+        counting(wire.desk.streams, "parts")
+        counting(wire.planner.channel, "heads")
+        for p in range(count):
+            wire.join(p, 7 * p)
+        wire.play(11)
+        assert not wire.planner.users.waiting
+        work.append(sum(done.values()))
+    print(work)
+    assert all(2.3 * few >= many for few, many in zip(work, work[1:])), work
