--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -290,3 +290,19 @@
         work.append(sum(done.values()))
     print(work)
     assert all(2.3 * few >= many for few, many in zip(work, work[1:])), work
+
+
+def test_an_emptied_list_is_believed_and_a_whole_one_gives_all_their_tables_back():
+    wire = Wire(80)
+    for p in range(100):
+        wire.join(p, 7 * p)
+    wire.play(8)
+    wire.list({b: "gone" for b in range(80)}, "whole")
+    wire.play(10.3)
+    assert wire.worst <= wire.boot.grace + LATE and not any(set().union(*one.tables.values()) - one.shut
+                                                            for one in wire.proxies.values())
+    wire.list({b: "running" for b in range(80)}, "whole")
+    wire.play(14)
+    assert not wire.planner.users.waiting and wire.peak <= wire.boot.backlog
+    for one in wire.proxies.values():
+        assert all(len(set(lines) - one.shut) >= 8 for lines in one.tables.values())
