--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -13,7 +13,7 @@
 from cranecleat.tallies.channel import Channel
 from cranecleat.tallies.demand import Demand
 from cranecleat.tallies.known import Backend, Proxy
-from cranecleat.tallies.layout import Layout, by_backend, by_table, by_zone
+from cranecleat.tallies.layout import Layout, by_table
 from cranecleat.tallies.users import Users
 
 TURN, DUE = 0, 1  # marks of the two timers: the periodic turn, and the head of the ordered due times
@@ -77,7 +77,7 @@
         self.applied = self.channel.applied
         self.tables, self.levels, self.theta = {}, {}, {}  # by table, by route, by table
         self.sections, self.homes = 0, {}  # parts of the fleet with tables of their own; backend -> its part
-        self.here, self.burden, self.reports = {}, {}, False  # table -> part; (section, zone) -> its load
+        self.here, self.burden = {}, []  # table -> part of the demand; section -> [users' calls, capacity]
         self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
         self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
@@ -242,7 +242,8 @@
 
     def doubted(self, b, missing):
         """Answers that distinct peers miss; they halve each turn in which they are not said again."""
-        self.backends.get(b, Backend()).doubt = missing
+        if b in self.backends:
+            self.backends[b].doubt = missing
 
     woke = probed = peer_said = slice_given = slice_line = slice_calls = lambda *_: None  # no use
 
@@ -261,8 +262,12 @@
         these too. Could do harm where one zone's fall behind: hence the cap; one answer brings it back."""
         if not self.tally[0]:
             return
-        running = self.running()
-        due = by_backend(self.tables, running, self.demands(), self.here)
+        running, demands, due = self.running(), self.demands(), {}
+        for table, lines in self.tables.items():
+            total = sum(w for b, w in lines.items() if b in running)
+            for b, w in lines.items():
+                calls = demands[table % len(demands)] * self.here.get(table, 1.0)
+                due[b] = due.get(b, 0.0) + calls * w / max(total, 1e-9)
         whole = sum(due[b] for b in due if b in running) or 1.0
         bound = (len(self.proxies) - len(self.users.bare)) / max(len(self.proxies), 1)
         room = sum(x.size * (MOST_SHUT - x.shut) for x in running.values())
@@ -348,7 +353,7 @@
         """What each running backend can take now, as its part of what the fleet can: by reported capacities,
         else size over answer time. Unheard ones count as average for their size among their kind."""
         running, part = self.running(), {}
-        self.reports = reports = any(x.busy for x in running.values())
+        reports = any(x.busy for x in running.values())
         for kind in {x.kind for x in running.values()}:
             known = [x for x in running.values() if (x.busy if reports else x.calls)]
             alike = [x for x in known if x.kind == kind] or known
@@ -370,8 +375,9 @@
         if reports:  # what is reported is not grown beyond
             self.fleet = min(self.fleet, whole) if self.fleet and self.before else whole
         fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
+        capacity = {b: 0.0 if x.shut else fleet * part[b] / whole for b, x in running.items()}
         self.cold = {b: part[b] / whole for b, x in running.items() if self.warmth(x) < 1.0 and not x.shut}
-        return {b: 0.0 if x.shut else fleet * part[b] / whole for b, x in running.items()}
+        return capacity
 
     # The waterfill decides rates, shares and weights
 
@@ -380,12 +386,11 @@
         return [b for b, x in self.running().items() if (r.kinds is None or x.kind in r.kinds)
                 and (r.zones is None or x.zone in r.zones) and zone in (None, x.zone)]
 
-    def near(self, able, section, zone):
-        """A section's: two homes wide, of other zones one; wider where a route may go to few."""
+    def near(self, able, section):
+        """A section's: two homes wide, and wider, for as many lines, where a route may go to few."""
         wide, mine = -(-2 * len(self.homes) // max(len(able), 1)), [] if self.sections else able
         while able and not mine:
-            mine = [b for b in able if (self.homes[b] - section) % self.sections
-                    * (1 + (self.backends[b].zone != zone)) < wide]
+            mine = [b for b in able if (self.homes[b] - section) % self.sections < wide]
             wide *= 2
         return mine
 
@@ -399,7 +404,7 @@
         if full > boot.cold and not (self.sections or self.users.tables or self.refuge):
             room = boot.pace * boot.grace * BOUND_IN / 1e6 / reach - self.head - 1 - len(boot.routes)
             room /= len(Layout(boot.routes, boot.zones, 1).groups)
-            self.sections = max(int((1 + 1 / boot.zones) * len(running) / min(max(room, FEWEST), MOST)), 1)
+            self.sections = max(int(2 * len(running) / min(max(room, FEWEST), MOST)), 1)
             for table, b in [(table, b) for table, lines in self.tables.items() for b in lines]:
                 self.out.line(table, b, 0.0)
             self.tables, self.theta, self.layout = {}, {}, Layout(boot.routes, boot.zones, self.sections)
@@ -407,35 +412,34 @@
         if self.sections and running.keys() != self.homes.keys():
             self.homes = {b: home for b, home in self.homes.items() if b in running}
             held = Counter((home, z) for b, home in self.homes.items() for z in (None, running[b].zone))
-            fresh = {b: running[b].zone for b in running.keys() - self.homes.keys()}
-            for b, z in sorted(fresh.items(), key=lambda new: zlib.crc32(f"{self.seed}:{new[0]}".encode())):
-                self.homes[b] = min(range(self.sections), key=lambda s: (held[s, z], held[s, None], s))
+            fresh = running.keys() - self.homes.keys()
+            for b in sorted(fresh, key=lambda b: zlib.crc32(f"{self.seed}:{b}".encode())):
+                z = running[b].zone
+                self.homes[b] = min(range(self.sections), key=lambda s: (held[s, None], held[s, z], s))
                 held.update([(self.homes[b], None), (self.homes[b], z)])
 
     def decide(self):
         self.part()
         demands, capacity = self.first_tries(), self.capacities()
         ranks = sorted({r.importance for r in self.boot.routes})
+        typical = self.demand.typical() or 1.0
         calls = {t: sum(p.calls() for p in self.users.of(t)) for t in self.users.tables if self.sections}
         whole_calls = sum(calls.values()) / len(self.layout.groups) or 1.0
-        able = {key: self.paths(*key) for key in set(self.layout.keys.values())}
+        able = {key: self.paths(*key) for key in {(routes[0], zone) for _, routes, zone, _ in self.layout}}
         wants, weights, here = {}, {}, {}  # by table and route
-        self.burden = {(s, z): [0.0, 1e-9] for s in range(self.sections) for z in range(self.boot.zones)}
+        self.burden = [[0.0, 1e-9] for _ in range(self.sections)]
         for table, routes, zone, section in self.layout:
-            paths, old = self.near(able[self.layout.keys[table]], section, zone), self.theta.pop(table, {})
+            paths = self.near(able[routes[0], zone], section)
+            old, whole = self.theta.pop(table, {}), sum(capacity[b] for b in paths)
             if not paths:
                 continue
-            home = [b for b in paths if capacity[b] and self.reports and self.backends[b].zone == zone]
-            parts = {b: capacity[b] * (1 + (self.backends[b].zone != zone)) for b in home or paths}
-            whole = sum(parts.values())
-            start = {b: part / whole if whole > 0 else 1 / len(parts) for b, part in parts.items()}
-            start.update({} if self.sections and self.reports else old)  # restarts: what crosses comes back
-            self.theta[table] = self.floored({b: start.get(b, 0.0) for b in paths})
-            here[table] = self.demand.typical(zone) / (self.demand.typical() or 1.0)
+            parts = {b: capacity[b] / whole if whole > 0 else 1 / len(paths) for b in paths}
+            self.theta[table] = self.floored({b: old.get(b, parts[b]) for b in paths})
+            here[table] = self.demand.typical(zone) / typical
             if self.sections:
                 mine = calls.get(table, 0.0)
                 here[table] = mine / whole_calls
-                self.burden[section, zone] = [*map(max, self.burden[section, zone], (mine, whole))]
+                self.burden[section] = [max(pair) for pair in zip(self.burden[section], (mine, whole))]
             for route in routes:
                 want, rank = demands[route] * here[table], ranks.index(self.boot.routes[route].importance)
                 if want > 0:  # a route without usage keeps its multipliers and a full share
@@ -455,8 +459,7 @@
             fit = self.fit(grants, capacity)
         self.level = min(1.0, max(fit, 1e-6))
         whole = by_table(grants)
-        level = max(self.level, self.at_home(whole, capacity) if self.sections and self.reports else 0.0)
-        _, thetas = self.fill(whole, whole, {b: c * level for b, c in capacity.items()})
+        _, thetas = self.fill(whole, whole, {b: c * self.level for b, c in capacity.items()})
         self.theta.update({table: theta for (table, _), theta in thetas.items()})
         for route in range(len(demands)):
             mine = [t for t in wants if t[1] == route]
@@ -471,17 +474,13 @@
                   for (t, _), want in by_table(wants).items()]
         return SLACK * max(*single, sum(wants.values()) / max(sum(capacity.values()), 1e-9))
 
-    def at_home(self, wants, capacity):
-        """Calls stay in their zone up to the assumed load, if loads are reported; a cut loses the rest."""
-        zones = by_zone(self.layout, wants, self.backends, capacity).values()
-        return min(SLACK * max(want / able for want, able in zones), TARGET)
-
     def fill(self, wants, weights, capacity):
         """The multiplier loop around Alg. 2, from the multipliers carried over."""
-        tables, thetas = list(wants), [self.theta[t] for t, _ in wants]
+        tables = list(wants)
+        thetas = [self.theta[t] for t, _ in tables]
         for _ in range(ITERATIONS):
-            before = list(thetas)
             rates = waterfill(list(wants.values()), list(weights.values()), thetas, capacity)
+            before = list(thetas)
             for k, rate in enumerate(rates):
                 total = sum(rate.values())
                 if total > 0:
@@ -526,8 +525,8 @@
         holders = (self.proxies if named else self.users.waiting).values()
         since = 0 if fresh else min((self.backends[b].said for b in which), default=0)
         holders = [p for p in holders if p.since >= since]  # who was here then knows
-        space = (part * self.boot.backlog - self.channel.queue) / max(len(holders), 1)
-        space = max(int(space - self.head), 0)
+        space = part * self.boot.backlog - self.channel.queue
+        space = max(int(space / max(len(holders), 1) - self.head), 0)
         full = self.channel.queue > self.boot.backlog / 2 and space < len(which)
         if full or part < OUT and not self.fits(holders, part, len(which)):
             return which
@@ -554,7 +553,8 @@
     def push(self, turn):
         """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered."""
         changes, unplaced, filled, demands, lately = [], set(), set(), self.demands(), self.lately()
-        waits, due = bool(self.users.waiting), turn or self.say_at is not None and self.now >= self.say_at
+        waits = bool(self.users.waiting)
+        due = turn or self.say_at is not None and self.now >= self.say_at
         for table, routes, _, _ in self.layout:
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
             calls = sum(demands[r] for r in routes) * self.here.get(table, 1.0) / max(len(theta), 1)
@@ -563,11 +563,10 @@
                 weight, old = float(f"{t * len(theta):.3g}"), lines.get(b, 0.0)
                 if abs(weight - old) > CHANGED * old:
                     order = 0 if bare else 1 if old == 0.0 or self.backends[b].out else 2
-                    worth = abs(weight - old) if order > 1 or not self.sections else 1.0  # a head for all
-                    changes.append((order, -worth * calls, table, b, weight))
+                    changes.append((order, -abs(weight - old) * calls, table, b, weight))
             changes += [(1 if self.sections and self.backends[b].state != "running" else 2 + (b in lately),
                          -FULL, table, b, 0.0) for b in lines if (theta or self.sections) and b not in theta]
-        self.lacking = self.owed = late = False
+        self.lacking = late = False
         for order, _, table, b, weight in sorted(changes):
             users = self.users.of(table)
             part = (NEW if order < 2 or waits else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
@@ -599,6 +598,7 @@
         rest = self.bar([b for b in gone if b not in again], True, part) + self.bar(again, True, part)
         self.unsaid.intersection_update(rest)
         self.behind, self.say_at = due and bool(rest), self.say_at if rest or late else None
+        self.owed = False
         if self.behind or late:
             what = "owed" if self.sections else "changed"
             self.later(self.boot.cycle // 10, lambda: setattr(self, what, True))
@@ -692,8 +692,7 @@
         """Binds who waits to the section that has the most room, in the order of joining."""
         for p, proxy in list(islice(self.users.waiting.items(), int(self.boot.backlog // self.head))):
             if proxy.section is None:
-                loads = {s: self.burden[s, proxy.zone] for s in range(self.sections)}
-                proxy.section = min(loads, key=lambda s: loads[s][0] / loads[s][1])
+                proxy.section = min(range(self.sections), key=lambda s: self.burden[s][0] / self.burden[s][1])
             tables = [(table, routes) for table, routes in self.layout.at(proxy.section, proxy.zone)
                       if self.tables.get(table) and table not in proxy.bound]
             cost = len(tables) + self.binding([b for table, _ in tables for b in self.tables[table]], proxy)
@@ -705,7 +704,7 @@
                 self.users.bind(p, proxy, table)
             self.channel.charge([proxy], cost * bool(tables))
             self.channel.bound(proxy, [table for table, _ in tables])
-            self.burden[proxy.section, proxy.zone][0] += proxy.calls() * bool(tables)
+            self.burden[proxy.section][0] += proxy.calls() * bool(tables)
 
     def full(self, least):
         """Whether no binding may go now, the smallest and cheapest among them."""
--- a/cranecleat/tallies/layout.py
+++ b/cranecleat/tallies/layout.py
@@ -3,8 +3,8 @@
 
 class Layout:
     """One shared table a route, or one for each zone where it may not leave the proxy's. Where the fleet is parted into
-    sections, one in each of them and for each zone, for all routes that may go to the same backends. Iterates over
-    (table, its routes, zone, section); a table's number modulo that of the routes is its first route."""
+    sections, one in each for all routes that may go to the same backends. Iterates over (table, its routes, zone,
+    section); a table's number modulo that of the routes is its first route."""
 
     def __init__(self, routes, zones, sections=0):
         groups = {}
@@ -13,14 +13,11 @@
         self.groups = [tuple(numbers) for numbers in groups.values()]  # a proxy is bound to a table for each
         self.tables = []
         for numbers in self.groups:
-            for zone in range(zones) if sections or routes[numbers[0]].own_zone else [None]:
+            for zone in range(zones) if routes[numbers[0]].own_zone else [None]:
                 for section in range(sections or 1):
                     place = (0 if zone is None else 1 + zone) + (1 + zones) * section
                     self.tables.append((numbers[0] + len(routes) * place, numbers, zone, section))
         self.of = {}  # (section, zone) -> [(table, its routes)]
-        # table -> its first route, and the zone that it may not leave
-        self.keys = {table: (numbers[0], zone if routes[numbers[0]].own_zone else None)
-                     for table, numbers, zone, _ in self.tables}
         for table, numbers, zone, section in self.tables:
             self.of.setdefault((section, zone), []).append((table, numbers))
 
@@ -32,27 +29,6 @@
         return self.of.get((section, None), []) + self.of.get((section, zone), [])
 
 
-def by_backend(tables, running, demands, here):
-    """The calls that lines decide about, as backend -> calls a second; what does not run takes none of a table."""
-    due = {}
-    for table, lines in tables.items():
-        total = sum(w for b, w in lines.items() if b in running)
-        for b, w in lines.items():
-            calls = demands[table % len(demands)] * here.get(table, 1.0)
-            due[b] = due.get(b, 0.0) + calls * w / max(total, 1e-9)
-    return due
-
-
-def by_zone(tables, wants, backends, capacity):
-    """Sums of what is kept by (table, None), and of capacities, as zone -> [wants, capacity]."""
-    sums = {}
-    for table, _, zone, _ in tables:
-        sums.setdefault(zone, [0.0, 1e-9])[0] += wants.get((table, None), 0.0)
-    for b, able in capacity.items():
-        sums.setdefault(backends[b].zone, [0.0, 1e-9])[1] += able
-    return sums
-
-
 def by_table(wants):
     """Sums of what is kept by (table, route), as (table, None)."""
     whole = {}
