--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -78,7 +78,7 @@
         self.tables, self.levels, self.theta = {}, {}, {}  # by table, by route, by table
         self.sections, self.homes = 0, {}  # parts of the fleet with tables of their own; backend -> its part
         self.here, self.burden = {}, []  # table -> part of the demand; section -> [users' calls, capacity]
-        self.refuge, self.cold, self.able = [], {}, {}  # table for who waits; cold one -> its part; what it can do
+        self.refuge, self.cold, self.able = [], {}, {}  # table for who waits; cold one -> its part; all -> can
         self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
         self.due, self.next_turn, self.asks, self.tally = [], None, 0, [0] * 3  # tries, answered, took
@@ -387,7 +387,7 @@
                 and (r.zones is None or x.zone in r.zones) and zone in (None, x.zone)]
 
     def near(self, able, section):
-        """A section's: two homes wide, and wider, for as many lines, where a route may go to few. Rule 4: also
+        """A section's: two homes wide, and wider, for as many lines, where a route may go to few. Rule 4: and
         where a release has left it less than half of its part of what all can do: its users lean on that."""
         wide, mine = -(-2 * len(self.homes) // max(len(able), 1)), [] if self.sections else able
         half = sum(self.able[b] for b in able) / max(self.sections, 1)
