--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -78,7 +78,7 @@
         self.tables, self.levels, self.theta = {}, {}, {}  # by table, by route, by table
         self.sections, self.homes = 0, {}  # parts of the fleet with tables of their own; backend -> its part
         self.here, self.burden = {}, []  # table -> part of the demand; section -> [users' calls, capacity]
-        self.refuge, self.cold, self.able = [], {}, {}  # table for who waits; cold one -> its part; all -> can
+        self.refuge, self.cold, self.able = [], {}, {}  # for who waits; cold -> its part; what each can do
         self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
         self.due, self.next_turn, self.asks, self.tally = [], None, 0, [0] * 3  # tries, answered, took
