--- a/tests/test_service.py
+++ b/tests/test_service.py
@@ -246,7 +246,8 @@
 def test_a_start_imports_none_of_what_only_other_commands_need(tmp_path):
     """Each restart pays for imports, on a core that hundreds of coordinators may share."""
     others = {"rich", "pygments", "typer", "click", "numpy", "cryptography", "kdl", "hypothesis", "pytest"}
-    before = f"import atexit, sys; atexit.register(lambda: print(*sorted({others} & set(sys.modules)), file=sys.stderr))"
+    before = ("import atexit, sys; "
+              f"atexit.register(lambda: print(*sorted({others} & set(sys.modules)), file=sys.stderr))")
     with Service(tmp_path).start(before) as service:
         service.log("serving")
         service.process.send_signal(signal.SIGTERM)
