--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -78,7 +78,7 @@
         self.tables, self.levels, self.theta = {}, {}, {}  # by table, by route, by table
         self.sections, self.homes = 0, {}  # parts of the fleet with tables of their own; backend -> its part
         self.here, self.burden = {}, []  # table -> part of the demand; section -> [users' calls, capacity]
-        self.refuge, self.cold, self.able = [], {}, {}  # for who waits; cold -> its part; what each can do
+        self.refuge, self.cold = [], {}  # table for proxies that wait; cold backend -> its part of the fleet
         self.share, self.granted = [1.0] * len(bootstrap.routes), [0.0] * len(bootstrap.routes)
         self.shares = [list(self.share)] * 3  # of the last turns, the oldest first: the one that reports show
         self.due, self.next_turn, self.asks, self.tally = [], None, 0, [0] * 3  # tries, answered, took
@@ -369,15 +369,15 @@
         for b, x in running.items():
             part[b] *= 1.0 - x.dropped / x.tries if x.tries > ENOUGH_TRIES else 1.0
         whole = sum(part.values()) or 1.0
-        self.able = {b: x.size * self.warmth(x) for b, x in running.items()}
-        width = sum(self.able.values())
+        width = sum(x.size * self.warmth(x) for x in running.values())
         self.scale(width / self.width if self.width else 1.0)
         self.width = width
         if reports:  # what is reported is not grown beyond
             self.fleet = min(self.fleet, whole) if self.fleet and self.before else whole
         fleet = self.fleet or sum(self.demands()) / TARGET or 1.0
+        capacity = {b: 0.0 if x.shut else fleet * part[b] / whole for b, x in running.items()}
         self.cold = {b: part[b] / whole for b, x in running.items() if self.warmth(x) < 1.0 and not x.shut}
-        return {b: 0.0 if x.shut else fleet * part[b] / whole for b, x in running.items()}
+        return capacity
 
     # The waterfill decides rates, shares and weights
 
@@ -387,13 +387,11 @@
                 and (r.zones is None or x.zone in r.zones) and zone in (None, x.zone)]
 
     def near(self, able, section):
-        """A section's: two homes wide, and wider, for as many lines, where a route may go to few. Rule 4: and
-        where a release has left it less than half of its part of what all can do: its users lean on that."""
+        """A section's: two homes wide, and wider, for as many lines, where a route may go to few."""
         wide, mine = -(-2 * len(self.homes) // max(len(able), 1)), [] if self.sections else able
-        half = sum(self.able[b] for b in able) / max(self.sections, 1)
-        while sum(self.able[b] for b in mine) < half:
+        while able and not mine:
             mine = [b for b in able if (self.homes[b] - section) % self.sections < wide]
-            wide += 1
+            wide *= 2
         return mine
 
     def part(self):
@@ -555,7 +553,8 @@
     def push(self, turn):
         """Lines first (rule 1), then withdrawals (rule 3), then levels. What can wait is gathered."""
         changes, unplaced, filled, demands, lately = [], set(), set(), self.demands(), self.lately()
-        waits, due = bool(self.users.waiting), turn or self.say_at is not None and self.now >= self.say_at
+        waits = bool(self.users.waiting)
+        due = turn or self.say_at is not None and self.now >= self.say_at
         for table, routes, _, _ in self.layout:
             theta, lines = self.theta.get(table, {}), self.tables.setdefault(table, {})
             calls = sum(demands[r] for r in routes) * self.here.get(table, 1.0) / max(len(theta), 1)
@@ -567,7 +566,7 @@
                     changes.append((order, -abs(weight - old) * calls, table, b, weight))
             changes += [(1 if self.sections and self.backends[b].state != "running" else 2 + (b in lately),
                          -FULL, table, b, 0.0) for b in lines if (theta or self.sections) and b not in theta]
-        self.lacking = self.owed = late = False
+        self.lacking = late = False
         for order, _, table, b, weight in sorted(changes):
             users = self.users.of(table)
             part = (NEW if order < 2 or waits else WEIGHTS) if turn else AT_ONCE if order < 2 else 0.0
@@ -599,6 +598,7 @@
         rest = self.bar([b for b in gone if b not in again], True, part) + self.bar(again, True, part)
         self.unsaid.intersection_update(rest)
         self.behind, self.say_at = due and bool(rest), self.say_at if rest or late else None
+        self.owed = False
         if self.behind or late:
             what = "owed" if self.sections else "changed"
             self.later(self.boot.cycle // 10, lambda: setattr(self, what, True))
--- a/tests/test_sections.py
+++ b/tests/test_sections.py
@@ -170,26 +170,6 @@
     assert wire.worst <= wire.boot.grace + LATE and wire.peak <= wire.boot.backlog
 
 
-def test_a_section_that_a_release_leaves_little_of_is_widened():
-    """Else all of its users lean on one or two backends; where these are cold they fall (rule 4)."""
-    wire, text = Wire(80), []
-    for p in range(200):
-        wire.join(p, 7 * p)
-    wire.play(12)
-    going = [b for b, home in sorted(wire.planner.homes.items()) if home in (3, 4, 5)][1:]
-    for states in ({}, dict.fromkeys(going, "gone")):
-        wire.list(states)
-        wire.play(4)
-        up, loads = [b for b, state in wire.state.items() if state == "running"], Counter()
-        for one in wire.proxies.values():
-            held = {name: weight for name, weight in one.tables["read"].items() if name not in one.shut}
-            loads.update({name: weight / sum(held.values()) for name, weight in held.items()})
-        most = max(loads.values()) * len(up) / len(wire.proxies)
-        text.append(f"{len(up)} backends, lines of a table {sorted(map(len, wire.planner.tables.values()))}, "
-                    f"most calls at one {most:.1f} times the mean")
-    same("sections_widened", text)
-
-
 def test_silence_is_counted_in_laps_of_the_stated_intake():
     """Lines of 40 proxies and 20 backends come round in five seconds; one backend never answers."""
     scene = Scene(verbs=("log",), intake=20.0, zones=1)
