Watch of the list: whatever fails, exactly one next dial is due, and no version outruns its entries

Seen, each with the real serve on loopback (tests/stage.py: a loop that a test steps), not in a play: - A watch that brought one byte a second of a line that never ended stood for ever: `look` counted from `heard`, which each read moves. Lines at fault: Watch.look, `due = self.heard + ...`. - A dial that raised anything but an OSError left nobody to dial again: with discovery moved to "a..b:80" the task ended with UnicodeError ("encoding with 'idna' codec failed") and no line was logged. At fault: Registry.connect, `except OSError`. Ruled out by tests that passed before as well: quiet from the first byte, after the head, half a line, pulses that stop, an end in mid-chunk, a move and a move back while a dial is under way, an old watch that dies between, an index freed and given to another name, a backend that leaves and is back in one entry, withdrawals to who joins in between.

Change: a whole line gets as long as a pulse may be late, twice that at the next try (a list that comes slowly gets in then); any exception of a dial is a failed dial; entries first, version after; 6 s after the last version, changes under it mean that versions are counted anew and the whole list is asked for. Could do harm where an agent lags by more than PROTOCOL allows: the list goes back to what that agent holds. Names have to be printable.

--- a/cranecleat/protocol/registry.py
+++ b/cranecleat/protocol/registry.py
@@ -20,7 +20,7 @@
     try:
         name, state, started = target["uid"], target["state"], target["boot_ms"] or 0
         size = target.get("capacity_hint", 1.0)
-        if not isinstance(name, str) or not NAME.fullmatch(name):
+        if not isinstance(name, str) or not NAME.fullmatch(name) or not name.isprintable():
             raise Unreadable(Reason.BAD_LIST, f"a name that no order can hold: {name!r:.60}")
         if not 0 <= started <= 1e15 or not 0 <= size <= 1e9:
             raise Unreadable(Reason.BAD_LIST, f"{name}: a figure out of range")
@@ -75,6 +75,7 @@
         super().__init__(hub)
         self.registry, self.answer, self.lines = registry, http.Answer(), Lines()
         self.address, self.move = registry.address, registry.moves
+        self.begun, self.whole = False, self.opened  # whether it has said anything; when its last whole line came
 
     def who(self):
         return {"who": "discovery"}
@@ -82,11 +83,12 @@
     def connection_made(self, transport):
         super().connection_made(transport)
         self.registry.watches.add(self)
+        self.look()  # first: whatever goes wrong from here on, it is found silent
         path = f"/registry/instances?watch=1&from={self.registry.version}"
         self.write(http.get(":".join(map(str, self.address)), path))
-        self.look()
 
     def use(self, data):
+        self.begun = True
         pieces, used = self.answer.take(data)
         found = [line for piece in pieces for line in self.lines.take(piece)]
         if self.answer.ended:
@@ -94,6 +96,7 @@
         for line in found:
             if line.strip():
                 self.registry.heard(line)
+            self.whole = self.heard
             self.registry.alive(self)
         if self.answer.ended:
             self.end(Reason.CLOSED, "the watch has ended")
@@ -101,10 +104,12 @@
 
     def look(self):
         """A watch that has lost its pulse may be silent for ever, and the list may change meanwhile. Where discovery
-        itself is down this only dials once a second or two."""
+        itself is down this only dials once a second or two. Bytes that make no line are no pulse: a line gets as long
+        as a pulse, and twice that at the next try, so that a list which comes slowly is heard after all."""
         if self.reason:
             return
-        due = self.heard + (QUIET if self.heard > self.opened else PROMPT)
+        line = self.whole + min(QUIET << min(self.registry.failures, 10), LAG)
+        due = min(self.heard + QUIET, line) if self.begun else self.opened + PROMPT
         if self.hub.clock.now() >= due:
             self.end(Reason.SILENT, "no pulse")
         else:
@@ -143,9 +148,10 @@
         try:
             async with asyncio.timeout(DIAL / MICRO):
                 await asyncio.get_running_loop().create_connection(lambda: Watch(self.hub, self), *self.address)
-        except OSError as failure:  # a dial that takes too long is one as well
-            self.hub.log.info("connection_ended", code=Reason.REFUSED.value, who="discovery", detail=str(failure))
-            self.again(move)
+        except Exception as failure:  # also one that takes too long, or a name that no look-up takes
+            self.hub.log.info("connection_ended", code=Reason.REFUSED.value, who="discovery",
+                              detail=str(failure) or type(failure).__name__)
+            self.again(move)  # nobody else would
 
     def again(self, move):
         """Dials after a wait that grows with each failure in a row, so that a list in trouble is left alone."""
@@ -156,6 +162,10 @@
         chance = zlib.crc32(f"{self.seed}:dial:{self.draws}".encode()) / 2**32
         self.hub.clock.at(self.hub.clock.now() + int(wait * (1 + chance) / 2), lambda: self.dial(move))
 
+    def stop(self):
+        if self.dialling:
+            self.dialling.cancel()
+
     def lost(self, watch):
         self.watches.discard(watch)
         self.again(watch.move)
@@ -169,8 +179,10 @@
 
     def heard(self, line):
         """Two watches, or an agent that lags, may bring what has been told already: changes are dropped then, and a
-        whole list refused, its watch with it, for as long as an agent may lag. Could do harm where versions are
-        counted anew: such a list is believed only after that time."""
+        whole list refused, its watch with it, for as long as an agent may lag. After that versions are counted anew: a
+        whole list is believed, and after changes, which say nothing of what was missed, all is asked for. Could do
+        harm where an agent lags by more: the list goes back to what that agent holds. An entry's version counts once
+        the entry is in."""
         try:
             entry = json.loads(line)
         except (ValueError, RecursionError) as wrong:
@@ -178,9 +190,12 @@
         version, scope, entries, wrong = decode(entry, self.hub.reader.zones, self.hub.kinds)
         now = self.hub.clock.now()
         if version < self.version:
-            if scope == "changes":
+            before, lags = self.version, now - self.reached < LAG
+            if lags and scope == "changes":
                 return
-            if now - self.reached < LAG:
-                raise Unreadable(Reason.BAD_LIST, f"version {version} after {self.version}")
-        self.version, self.reached = version, now
+            if not lags and scope == "changes":
+                self.version = 0
+            if lags or scope == "changes":
+                raise Unreadable(Reason.BAD_LIST, f"version {version} after {before}{'' if lags else ', counted anew'}")
         self.hub.listed(scope, entries, wrong)
+        self.version, self.reached = version, now
