Stop and ends of streams: who was just taken, late signals, sums not told and half-closed streams

Seen, each forced with the real serve on loopback, not in a play: - Sockets taken in the turn in which SIGTERM is heard got their protocol after `stopped`: no line, no close of ours (the three connections of the test ended nowhere in the log). At fault: Listener.take, whose tasks nobody waited for, and serve, which ended only what was in `connections`. - A second SIGTERM, SIGINT or SIGHUP between the loop's close and the process's end gave code -15, -2, -1 for 0: the loop's close puts the default handlers back. Before the loop the same for SIGTERM and SIGINT (only SIGHUP waited). - `spoilt` and `bad_entry` counted but not yet told were lost at the stop. - A proxy that ended its side with orders unread stayed joined: the loop keeps such a connection until what waits is read. At fault: no eof_received in Connection. - A figure of 1e999 in the configuration was a traceback with code 1 at the start ("cannot convert float infinity to integer") and an `internal` at SIGHUP: `read` and `bootstrap` did not catch OverflowError. Ruled out, passing before as well: SIGHUP amid the stop, the end of a replaced stream after the join of the new one, a stream given up in the round that writes to it, a sign of life behind 400 joins, an act that raises when due.

Change: the listener's tasks are waited for, a connection made while stopping ends as `stopping`, a dial under way is cancelled, sums are told; signals are held back outside of the loop's life; the end of the other side ends the connection at once; infinite figures are one line and code 2.

--- a/cranecleat/door.py
+++ b/cranecleat/door.py
@@ -67,7 +67,7 @@
         raise Malformed(f"the start message lacks {missing.args[0]!r}") from None
     except Malformed:
         raise
-    except (TypeError, ValueError, AttributeError, IndexError) as wrong:
+    except (TypeError, ValueError, OverflowError, AttributeError, IndexError) as wrong:
         raise Malformed(f"the start message cannot be read: {wrong}") from None
 
 
--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -19,6 +19,7 @@
 
     def __init__(self, hub, where):
         self.hub, self.loop = hub, asyncio.get_running_loop()
+        self.coming = set()  # those that were taken and have no protocol yet
         family = socket.AF_INET6 if ":" in where[0] else socket.AF_INET
         self.socket = socket.create_server(where, family=family, backlog=BACKLOG)
         self.socket.setblocking(False)
@@ -32,7 +33,9 @@
         try:
             for _ in range(AT_ONCE):
                 taken, _ = self.socket.accept()
-                self.loop.create_task(self.loop.connect_accepted_socket(self.hub.accept, taken))
+                coming = self.loop.create_task(self.loop.connect_accepted_socket(self.hub.accept, taken))
+                self.coming.add(coming)
+                coming.add_done_callback(self.coming.discard)
         except OSError as failure:  # nobody waits any more, or who waited has gone
             if failure.errno in NO_ROOM and not self.hub.drop_stranger(failure.strerror):
                 self.hub.count("no_descriptor", says=failure.strerror)
@@ -43,6 +46,10 @@
         self.loop.remove_reader(self.socket)
         self.socket.close()
 
+    async def settle(self):
+        """Until whoever was taken has a connection, which can be ended like any other."""
+        await asyncio.gather(*self.coming, return_exceptions=True)
+
 
 class Connection(asyncio.BufferedProtocol):
     """Reads into pooled buffers and ends with one log line. Subclasses use what was read."""
@@ -60,6 +67,8 @@
     def connection_made(self, transport):
         self.transport = transport
         self.hub.connections.add(self)
+        if self.hub.stopping:
+            self.end(Reason.STOPPING)
 
     def get_buffer(self, hint):
         try:
@@ -105,6 +114,11 @@
             self.release()
             self.transport.abort()
 
+    def eof_received(self):
+        """The other side has ended, and what it left unread is owed to nobody: the loop would keep the connection, and
+        a proxy joined, until that was read."""
+        self.transport.abort()
+
     def release(self):
         self.half.keep(b"")
         self.hub.connections.discard(self)
@@ -142,7 +156,8 @@
 
     def connection_made(self, transport):
         super().connection_made(transport)
-        self.hub.came(self)
+        if not self.reason:
+            self.hub.came(self)
 
     def release(self):
         super().release()
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -196,5 +196,7 @@
 
     def stop(self):
         self.stopping = True
+        self.registry.stop()
         for connection in list(self.connections):
             connection.end(Reason.STOPPING)
+        self.sum_up()
--- a/cranecleat/service/run.py
+++ b/cranecleat/service/run.py
@@ -15,6 +15,7 @@
 from cranecleat.service.start import operator, read, reread
 
 STOPPED, FAILED, CANNOT_START = 0, 1, 2  # exit codes
+HEARD = signal.SIGTERM, signal.SIGINT, signal.SIGHUP  # outside of the loop's life they would end it with another code
 
 
 async def serve(station, log, switched=None):
@@ -61,7 +62,7 @@
         front = Front(coordinator, switched.files)
         coordinator.through_files(front, Both(coordinator.streams, front.ledger))
     loop.add_signal_handler(signal.SIGHUP, reloaded)
-    signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+    signal.pthread_sigmask(signal.SIG_UNBLOCK, HEARD)
     coordinator.start()
     try:
         listener = Listener(coordinator, station.listen)
@@ -79,13 +80,15 @@
     for part in filter(None, (courier, coordinator.files)):
         part.close()
     coordinator.stop()
+    await listener.settle()
     await asyncio.sleep(0)  # lets the connections log their ends
+    signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)
     log.info("stopped", code=code, longest_round_us=coordinator.longest)
     return code
 
 
 def main():
-    signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGHUP})  # one that comes this early waits until it can be heard
+    signal.pthread_sigmask(signal.SIG_BLOCK, HEARD)  # what comes this early waits until it can be heard
     try:
         station = read(os.environ)
         return asyncio.run(serve(station, open_log(station.name), operator(os.environ, station.name)))
--- a/cranecleat/service/start.py
+++ b/cranecleat/service/start.py
@@ -82,7 +82,7 @@
         raise Malformed(f"{path}: known: {wrong}") from None
     except Malformed as wrong:
         raise Malformed(f"{path}: {wrong}") from None
-    except (TypeError, ValueError, AttributeError) as wrong:
+    except (TypeError, ValueError, OverflowError, AttributeError) as wrong:
         raise Malformed(f"{path}: {wrong}") from None
 
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -2,6 +2,7 @@
 docs/endings.md has a row for each; the wording there and here is the same."""
 
 import errno
+import os
 import signal
 import socket
 
@@ -9,7 +10,8 @@
 
 from cranecleat.protocol import http
 from cranecleat.protocol.limits import FIRST_WAIT, LAG, LONGEST_WAIT, PROMPT, QUIET
-from scene import chunk
+from cranecleat.protocol.reasons import Reason
+from scene import Service, chunk
 from stage import Stage
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -215,6 +217,162 @@
     assert [fields["count"] for fields in stage.log.events("bad_entry")] == [1]
 
 
+# Stop: each connection has its line before `stopped`, and later signals change nothing
+
+
+def test_who_was_taken_as_the_end_came_is_ended_and_told_before_stopped(stage):
+    stage.dial("telemetry locality=a", "hb")
+    stage.still()
+    late = []
+
+    def as_it_ends():
+        late.extend(stage.dial(ATTACH) for _ in range(3))
+        stage.listener.take()
+
+    stage.log.on("stopping", as_it_ends)
+    stage.signal(signal.SIGTERM)
+    stage.until(stage.task.done)
+    assert stage.task.result() == 0 and stage.log.lines[-1][0] == "stopped"
+    assert ends(stage, "stranger") == ["stopping"] * 3 and ends(stage, "collector") == ["stopping"]
+    assert not stage.log.events("joined") and [stage.got(one) for one in late] == [None] * 3
+
+
+def test_a_watch_that_comes_up_as_the_end_comes_is_ended_and_told(stage):
+    stage.watch()
+    with socket.create_server(("127.0.0.1", 0)) as second:
+        second.setblocking(False)
+        stage.log.on("stopping", lambda: stage.hub.registry.follow(second.getsockname()))
+        stage.signal(signal.SIGTERM)
+        stage.until(stage.task.done)
+        assert stage.log.lines[-1][0] == "stopped" and set(ends(stage)) == {"stopping"}
+        assert stage.hub.connections == set()
+
+
+LATER = """
+import asyncio.runners as r, os, signal
+close = r.Runner.close
+def closed(self):
+    close(self)
+    os.kill(os.getpid(), signal.{})
+r.Runner.close = closed
+"""
+
+
+@pytest.mark.parametrize("second", ["SIGTERM", "SIGINT", "SIGHUP"])
+def test_a_second_signal_after_the_loop_has_closed_changes_nothing(tmp_path, second):
+    with Service(tmp_path).start(LATER.format(second)) as service:
+        service.log("serving")
+        service.process.send_signal(signal.SIGTERM)
+        assert service.ended() == (0, "")
+
+
+@pytest.mark.parametrize("first", ["SIGTERM", "SIGINT"])
+def test_a_signal_that_comes_before_the_loop_stops_it_as_soon_as_it_serves(tmp_path, first):
+    early = f"import cranecleat.service.run as r, os, signal; read = r.read\n" \
+            f"r.read = lambda *v: (os.kill(os.getpid(), signal.{first}), read(*v))[1]"
+    with Service(tmp_path).start(early) as service:
+        assert "code=0" in service.log("stopped")
+        assert service.ended() == (0, "")
+
+
+def test_sighup_amid_the_stop_dials_nothing(stage):
+    stage.watch()
+    with socket.create_server(("127.0.0.1", 0)) as second:
+        second.setblocking(False)
+        stage.write({**stage.service.told, "discovery": stage.service.where(second)})
+        stage.log.on("stopping", lambda: os.kill(os.getpid(), signal.SIGHUP))
+        stage.signal(signal.SIGTERM)
+        stage.until(stage.task.done)
+        assert stage.task.result() == 0 and stage.taken(second) is None
+
+
+# Configuration
+
+
+@pytest.mark.parametrize("change", [{"limits": {"memory_mb": 1e999, "sockets": 64}}, {"settings": {"round": 1e999}},
+                                    {"settings": {"specifics": {"cycle": 1e999}}}], ids=str)
+def test_a_figure_without_end_is_one_line_at_the_start_and_at_sighup(tmp_path, change):
+    with Service(tmp_path).start() as service:
+        service.log("serving")
+        told = {**service.told, **{key: {**service.told[key], **more} for key, more in change.items()}}
+        if "specifics" in change.get("settings", {}):
+            told["settings"]["specifics"] = {**service.told["settings"]["specifics"], "cycle": 1e999}
+        before, service.told = service.told, told
+        service.reload()
+        assert "infinity" in service.log("reload_failed|internal|Error") and service.answers()
+        service.told = {**told, "listen": before["listen"]}
+        code, errors = Service.start(service).ended()
+        assert code == 2 and errors.count("\n") == 1 and errors.startswith("cranecleat: ")
+
+
+# Streams: the end of one
+
+
+def test_a_proxy_that_ends_its_side_with_orders_unread_has_left(stage):
+    """Its stream could stay in its last throes for as long as it reads nothing, and count as joined meanwhile."""
+    proxy = stage.dial(ATTACH)
+    stage.until(lambda: stage.hub.streams.joined)
+    stream = stage.hub.streams.joined[3].connection
+    stream.transport.write(b"x" * (16 << 20))  # beyond what the system takes for it
+    stage.still()
+    assert stream.transport.get_write_buffer_size()
+    proxy.shutdown(socket.SHUT_WR)
+    stage.still()
+    assert stage.hub.streams.joined == {} and ends(stage, "proxy") == ["closed"]
+
+
+def test_what_came_ahead_of_the_end_counts(stage):
+    collector = stage.dial("telemetry locality=a",
+                           "upstream_stats locality=a endpoint=s-1 total=9 errors=0 rtt=50 interval=1000")
+    collector.shutdown(socket.SHUT_WR)
+    stage.pass_by(0.1)
+    assert ends(stage, "collector") == ["closed"] and stage.hub.planner.backends[0].calls == 9
+
+
+def test_the_end_of_a_replaced_stream_seen_after_the_join_of_the_new_one_means_nothing(stage):
+    old = stage.dial(ATTACH)
+    stage.until(lambda: stage.hub.streams.joined)
+    new = stage.dial(ATTACH)
+    old.close()
+    stage.pass_by(2.0)
+    assert stage.hub.streams.joined[3].connection.reason is None and 3 in stage.hub.planner.proxies
+    assert "stamp=" in stage.got(new) and len(stage.hub.planner.users.waiting) == 0
+
+
+def test_a_stream_given_up_in_the_round_that_writes_to_it_leaves_the_others_theirs(stage):
+    proxies = [stage.dial(ATTACH.replace("3", str(number))) for number in (1, 2, 3)]
+    stage.until(lambda: len(stage.hub.streams.joined) == 3)
+    streams = stage.hub.streams.joined
+    messages = stage.hub.streams.messages
+
+    def with_one_too_many():
+        found = messages()
+        if found:
+            stage.hub.streams.messages = messages
+            streams[1].connection.end(Reason.UNREAD)  # as the first write of this round may
+        return found
+
+    stage.hub.streams.messages = with_one_too_many
+    stage.pass_by(1.0)
+    assert [bool(stage.got(one)) for one in proxies] == [False, True, True] and 1 not in stage.hub.planner.proxies
+    assert 1 not in {p for _, lines in stage.hub.planner.channel.owed for p in lines}
+
+
+# Start
+
+
+def test_a_sign_of_life_behind_hundreds_of_joins_is_answered_in_the_order_of_coming(tmp_path, monkeypatch):
+    settings = {**Service(tmp_path).told["settings"]}
+    settings["specifics"] = {**settings["specifics"], "proxyCount": 600}
+    with Stage(tmp_path, monkeypatch, settings=settings) as stage:
+        joins = [stage.dial(f"attach node={n} locality=a w=1 cold=1") for n in range(400)]
+        asking = stage.dial("hb")
+        stage.until(lambda: stage.got(asking))
+        assert stage.loop.seconds == 1000.0  # no due time had to pass for it
+        stage.until(lambda: len(stage.hub.streams.joined) == 400)
+        assert len(joins) == 400 and not ends(stage, "stranger")
+
+
 # Forgetting
 
 
@@ -297,3 +455,29 @@
         watch.sendall(PULSE)
     orders = stage.got(moved)
     assert "drop=s-1" in orders or "replace=1" in orders and "s-1:" not in orders
+
+
+# What is kept for a while is told before the end
+
+
+def test_sums_that_are_not_told_yet_are_told_before_stopped(stage):
+    stage.dial("telemetry locality=a", "done node=3 nonce=1 latency=1", "done node=3 nonce=1 latency=1")
+    stage.still()
+    stage.signal(signal.SIGTERM)
+    stage.until(stage.task.done)
+    assert [fields["count"] for fields in stage.log.events("spoilt")] == [2]
+    assert stage.log.lines[-1][0] == "stopped"
+
+
+def test_a_due_act_that_fails_stops_no_other(stage):
+    """Due times share one timer of the loop."""
+    done = []
+
+    def fails():
+        raise RuntimeError("amid an act")
+
+    now = stage.hub.clock.now()
+    for act in (fails, lambda: done.append(1), fails, lambda: done.append(2)):
+        stage.hub.clock.at(now + 1000, act)
+    stage.pass_by(0.01)
+    assert done == [1, 2] and len(stage.log.events("internal")) == 2
