Rule 1: marks that are never answered free the channel's account after five graces

Seen: with the real serve on loopback, seven proxies joined and fell silent with 637 lines unanswered (backlog 2,000); an eighth that joined then was never bound, for as long as the test ran. A probe of the planner alone, 40 backends, eight silent proxies, a backlog of 1,000: 602 lines counted as waiting, and a ninth proxy not bound within 20 turns. Cause: Channel.applied frees what was written before a mark that is answered, and Channel.leave what a stream that ends was owed. Where all streams that were written to are silent and open (a cut), neither comes, and `deal` and `join` have no room for a binding. Ruled out: marks of an earlier life (they start by seed), numbers used again.

Change: each turn frees what was written more than five graces ago (LATELY): it has left the channel, or its streams count as left by PROTOCOL. What it guards against: a proxy without a table (rule 1). It should also catch marks whose answers were spoilt.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -104,6 +104,7 @@
             heappop(self.due)[2]()
         if turn:
             self.spell = self.lap()
+            self.channel.settle(now - LATELY * self.boot.grace)  # rule 1: who never answers holds up no others
             self.forget()
             self.judge()
             self.learn()
@@ -317,7 +318,6 @@
     def learn(self):
         """The fleet's capacity from what was served. A turn without reports teaches nothing."""
         (tries, answered, taken), self.tally = self.tally, [0] * 3
-        self.demand.settle(self.now - self.cycles(SETTLED))
         if not tries or self.demand.of_newcomers() > NEWCOMERS * self.demand.all():
             return  # those that have just come are in the demand before they are in the reports
         running = self.running().values()
--- a/cranecleat/tallies/channel.py
+++ b/cranecleat/tallies/channel.py
@@ -6,7 +6,7 @@
     once, each table's lines once for all of its users (`spent`); `post` parts that by proxy."""
 
     def __init__(self, head):
-        self.head, self.queue, self.owed = head, 0.0, []  # lines that may wait, and (mark, proxy -> lines) of them
+        self.head, self.queue, self.owed = head, 0.0, []  # lines that may wait; (mark, proxy -> lines, when) of them
         self.charged, self.spent = {}, {}  # of a round: who gets a message; table -> lines to all users
         self.counted = {}  # of a round: (table, charged so far) -> heads
 
@@ -49,7 +49,7 @@
         for p in written.keys() - (written.keys() if reached is None else reached):
             self.queue -= written.pop(p)
         if written:
-            self.owed.append((mark, written))
+            self.owed.append((mark, written, now))
         for p, proxy in self.charged.items():
             if messages_most and p in written:
                 proxy.sent = [*proxy.sent[1 - messages_most:], now]
@@ -58,12 +58,18 @@
 
     def applied(self, p, number):
         """The channel sends in order: what was written before a message that has arrived has left it."""
-        for i, (mark, lines) in enumerate(self.owed):
+        for i, (mark, lines, _) in enumerate(self.owed):
             if mark == number and p in lines:
-                self.queue -= lines.pop(p) + sum(sum(older.values()) for _, older in self.owed[:i])
+                self.queue -= lines.pop(p) + sum(sum(older.values()) for _, older, _ in self.owed[:i])
                 del self.owed[:i]
                 break
 
     def leave(self, p):
-        for _, lines in self.owed:
+        for _, lines, _ in self.owed:
             self.queue -= lines.pop(p, 0.0)
+
+    def settle(self, since):
+        """What was written by `since` has left the channel, or went to streams that have gone silent: those count as
+        left, and their marks are never answered."""
+        while self.owed and self.owed[0][2] <= since:
+            self.queue -= sum(self.owed.pop(0)[1].values())
--- a/tests/stage.py
+++ b/tests/stage.py
@@ -32,6 +32,10 @@
         self.call_soon(self.stop)
         self.run_forever()
 
+    async def getaddrinfo(self, *asked, **how):
+        """Without the thread that the loop would ask, which takes real time."""
+        return socket.getaddrinfo(*asked, **how)
+
     def next_due(self):
         return min((timer.when() for timer in self._scheduled if not timer.cancelled()), default=None)
 
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -355,7 +355,23 @@
     stage.hub.streams.messages = with_one_too_many
     stage.pass_by(1.0)
     assert [bool(stage.got(one)) for one in proxies] == [False, True, True] and 1 not in stage.hub.planner.proxies
-    assert 1 not in {p for _, lines in stage.hub.planner.channel.owed for p in lines}
+    assert 1 not in {p for _, lines, _ in stage.hub.planner.channel.owed for p in lines}
+
+
+def test_marks_that_are_never_answered_hold_up_no_others(tmp_path, monkeypatch):
+    """Streams that have gone silent count as left, whoever notices. What waits for them fills the channel's account,
+    and with nobody else to answer it stayed full: who came later was never bound."""
+    names = {f"s_{n}": "active" for n in range(40)}
+    with Stage(tmp_path, monkeypatch, known=Service(tmp_path).list(41, **names)) as stage:
+        for number in range(7):
+            stage.dial(ATTACH.replace("3", str(number)))
+        stage.pass_by(2.0)
+        planner, late = stage.hub.planner, stage.dial(ATTACH.replace("3", "7"))
+        stage.pass_by(2.0)
+        assert list(planner.users.waiting) == [7] and planner.channel.queue > planner.boot.backlog / 4
+        stage.pass_by(6 * planner.boot.grace / 1e6)
+        assert "replace=1" in stage.got(late) and not planner.users.waiting
+        assert planner.channel.queue <= planner.boot.backlog / 2
 
 
 # Start
--- a/tests/test_tallies.py
+++ b/tests/test_tallies.py
@@ -111,7 +111,7 @@
             scene.second(range(4), calls=40 + p)
         else:
             scene.tell(*(("applied", q, mark) for mark in scene.marks for q in list(planner.proxies)))
-        owed = sum(sum(lines.values()) for _, lines in planner.channel.owed)
+        owed = sum(sum(lines.values()) for _, lines, _ in planner.channel.owed)
         assert abs(planner.channel.queue - owed) < 1e-6
         proxies = planner.proxies
         assert set(planner.users.waiting) == {q for q, one in proxies.items() if len(one.bound) < len(BOOT.routes)}
