--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -104,7 +104,7 @@
             heappop(self.due)[2]()
         if turn:
             self.spell = self.lap()
-            self.channel.settle(now - LATELY * self.boot.grace)  # rule 1: who never answers holds up no others
+            self.channel.settle(now - LATELY * self.boot.grace)  # rule 1: who never answers holds up none
             self.forget()
             self.judge()
             self.learn()
