--- a/review/1/case.py
+++ b/review/1/case.py
@@ -64,8 +64,6 @@
     platform = Platform(record, discovery, SETTINGS)
     tasks = []
     try:
-        for entry in discovery.entries.values():
-            discovery.told[entry["uid"]] = "active", 0.0, 0
         await platform.start(discovery.whole())
         proxies = [
             Proxy(n, ZONES[n % 4], platform, backends, CLASSES, OWN_ZONE, record, RATE, random.Random(n))
--- a/review/standins.py
+++ b/review/standins.py
@@ -168,6 +168,9 @@
 
     async def start(self, known):
         self.starts += 1
+        self.first_answer = None
+        now = time.monotonic()  # until discovery writes to it, it has been told what it is started with
+        self.discovery.told = {entry["uid"]: (entry["state"], now, entry["boot_ms"]) for entry in known["targets"]}
         listen = f"127.0.0.1:{self.port}"
         configuration = {
             "name": self.name,
