Review: a case whose coordinator ended of itself could not run

Reason: such a run says nothing of the rule.

Change: exit code 2 where the coordinator has ended and the rule was not broken before.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -102,6 +102,8 @@
         for backend in struck:
             record(f"{backend.name} has run {backend.ran} calls in all", True)
         record(f"longest time without a line: {rule.longest:.2f} s, limit {rule.limit:.2f} s", True)
+        if platform.crashed() and not rule.broken:
+            return NOT_RUN
         return BROKEN if rule.broken else KEPT
     finally:
         for task in tasks:
