--- a/review/standins.py
+++ b/review/standins.py
@@ -420,14 +420,15 @@
         self.number, self.outcomes, self.tasks = 0, [], set()
 
     async def run(self):
+        started, step = time.monotonic(), 1 / self.rate / len(self.proxies) / len(self.classes)
         while True:
-            for proxy in self.proxies:
-                for name in self.classes:
+            for name in self.classes:
+                for proxy in self.proxies:
                     self.number += 1
                     task = asyncio.ensure_future(self.one(proxy, name, f"c{self.number}"))
                     self.tasks.add(task)
                     task.add_done_callback(self.tasks.discard)
-            await asyncio.sleep(1 / self.rate)
+                    await asyncio.sleep(max(started + self.number * step - time.monotonic(), 0))
 
     async def one(self, proxy, name, number):
         sent = self.record.now()
