--- a/cranecleat/bookkeeping/known.py
+++ b/cranecleat/bookkeeping/known.py
@@ -16,6 +16,11 @@
         # When an entry of the list, in any state, last named it, or a periodic round last found it not gone.
         self.last_present_at = 0
         self.withdrawal_sent_at = 0  # when a proxy was last told to withdraw it
+        # Whether a proxy may hold it as withdrawn from an earlier stream although it runs, and the tables whose proxies
+        # have been told since then to use it again.
+        self.inheritable = False
+        self.reinstated_in = set()
+        self.withdrawal_was_sent = False  # whether a proxy was told to withdraw it before it was last reinstated
         self.reset_measurements()
 
     def reset_measurements(self):
@@ -47,11 +52,34 @@
                 self.reset_measurements()
             self.zone, self.kind, self.size, self.started = zone, kind, max(size, 0.01), started
         self.state, self.last_present_at = state, now
+        self.inheritable = self.inheritable and state == "running"
 
     def missing_from_list(self, now):
         """A complete list without this backend means that it has gone."""
         if self.state != "gone":
-            self.state, self.due_since = "gone", now
+            self.state, self.due_since, self.inheritable = "gone", now, False
+
+    def withdrawal_inherited(self):
+        """Notes that proxies may hold it as withdrawn from an earlier stream, although it runs."""
+        self.inheritable, self.reinstated_in = True, set()
+
+    def withdrawal_lifted(self):
+        """Notes that it is reinstated. With subsets, a proxy that was told to withdraw it is told otherwise only once a
+        table of the proxy names it."""
+        self.withdrawal_was_sent = self.withdrawal_sent_at > 0
+        self.reinstated_in = set()
+
+    def entry_written(self, table):
+        """Notes that its entry in a table is written. Returns whether this reinstates it at the table's proxies, as far
+        as they hold it as withdrawn."""
+        if self.withdrawn or not self.inheritable or table in self.reinstated_in:
+            return False
+        self.reinstated_in.add(table)
+        return True
+
+    def entry_removed(self, table):
+        """Notes that its entry in a table is removed: proxies that are bound to it then have not been told."""
+        self.reinstated_in.discard(table)
 
     def record_tries(self, tries, unanswered, keep):
         """Adds tries; `keep` is the part that remains of the earlier sums."""
@@ -101,17 +129,18 @@
 class Proxy:
     """A joined proxy: what it reports, which tables it is bound to, and what its messages cost."""
 
-    def __init__(self, proxy_id, zone, typical_rate, now, uses_initial_table, inherited):
+    def __init__(self, proxy_id, zone, typical_rate, now, uses_initial_table, may_inherit):
         self.proxy_id = proxy_id
         self.zone = zone
         self.typical_rate = typical_rate  # calls per second that it stated when it joined
         self.joined_at = now
         # Whether it holds only the backends that it chose at its start, and no table from a coordinator.
         self.uses_initial_table = uses_initial_table
-        self.inherited_count = inherited  # number of withdrawals that it may still hold from an earlier stream
+        self.may_inherit = may_inherit  # whether it may hold withdrawals from an earlier stream
         self.rate_by_route = {}  # route -> calls per second
         self.bound_tables = set()  # tables of the layout; the fallback table is none of them
         self.on_fallback_table = False  # whether it was bound to the table of `Planner.bind_to_fallback_table`
+        self.bound_at = -1  # when it was last bound to any table; -1: never
         self.subset = None  # the subset that it is bound to; None: not bound yet, or the fleet is not split
         # Lines of this round's message with its overhead, but without those of `Channel.table_lines`; what these hold
         # from before a binding is subtracted in advance.
--- a/cranecleat/files/front.py
+++ b/cranecleat/files/front.py
@@ -50,7 +50,7 @@
 
     def forget(self, backend):
         self.ledger.forget(backend)
-        self.streams.forget(backend)
+        return self.streams.forget(backend)
 
     def request_ack(self, number):
         return {*self.streams.request_ack(number), *self.ledger.request_ack(number)}
@@ -228,7 +228,6 @@
                         self.intake.zones[writer.report.zone],
                         writer.report.typical_rate,
                         writer.report.uses_initial_table,
-                        0,
                     )
                 )
             elif transport == STREAM and proxy in self.waiting_streams:
--- a/cranecleat/interface.py
+++ b/cranecleat/interface.py
@@ -76,8 +76,9 @@
         `tries`, how they retry: 1 for only on proof that the first try never ran. `table` None: for all tables."""
         ...
 
-    def forget(self, backend: int) -> None:
-        """Frees the index of a backend that has been gone for long."""
+    def forget(self, backend: int) -> Collection[int] | None:
+        """Frees the index of a backend that has been gone for long. Returns the proxies that may hold it as withdrawn;
+        None: none."""
         ...
 
     def request_ack(self, ack_number: int) -> Collection[int] | None:
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -11,17 +11,16 @@
 class Stream:
     """The current stream of one proxy."""
 
-    def __init__(self, connection, typical_rate, ever_withdrawn, inherited, join_number):
+    def __init__(self, connection, typical_rate, inherits_any, join_number):
         self.connection = connection
         self.typical_rate = typical_rate  # calls per second, as the proxy stated when it joined
         self.join_number = join_number  # messages go out in the order of joining
         self.is_subset = False  # see `Streams.bind`
         self.table_by_route = {}  # only the routes that are bound
         self.withdrawn = set()  # backends that were withdrawn on this stream and not reinstated
-        # Backends that were ever withdrawn on any stream of the proxy: the same set object as in `Streams`.
-        self.ever_withdrawn = ever_withdrawn
-        # Backends that the proxy may still hold as withdrawn from an earlier stream, here or at another coordinator.
-        self.inherited = inherited
+        # Whether the proxy may hold any backend as withdrawn from an earlier stream: see `Streams.join`.
+        self.inherits_any = inherits_any
+        self.reinstated = set()  # backends that the proxy was told on this stream to use again
 
 
 class Streams:
@@ -33,10 +32,12 @@
         self.join_count = 0  # streams so far
         self.proxies_by_table = {}  # table -> proxies with a route bound to it
         self.joined = {}  # proxy -> stream
-        self.ever_withdrawn = {}  # proxy -> backends that it was ever told to withdraw; outlasts its streams
         self.tables = {}  # table -> {backend: weight}
         self.withdrawn = set()  # backends that the planner has withdrawn
-        self.ever_left = set()  # backends that another coordinator may have withdrawn: see `backends_listed`
+        self.running = set()  # backends that the list shows as running
+        # Running backends that a proxy may hold as withdrawn from an earlier stream: see `backends_listed`.
+        self.inheritable = set()
+        self.first_away = {}  # backend that was ever listed as not running -> `join_count` when it first was
         self.admissions = {}  # (table or None for all, route) -> (level, tries)
         self.clear()
 
@@ -48,44 +49,79 @@
         self.changed_admissions = set()  # (table or None for all, route)
         self.ack_number = None
         self.prepared_messages = []  # (proxy, connection, bytes)
-        # Caches: encoded parts, and the backends in each set of tables.
+        # Caches: encoded parts, and what `withdrawal_parts` needs of each set of tables.
         self.encoded = {}
         self.backends_in_tables = {}
+        self.reinstatable_in_tables = {}
 
     # Which proxies are joined
 
     def backends_listed(self, scope, entries):
-        """Notes which backends a proxy may hold as withdrawn because another coordinator withdrew them.
+        """Notes which running backends a proxy may hold as withdrawn. Returns those that are noted newly.
 
-        These are the backends that are listed as not running, or are missing from a whole list. In the list that is
-        held at the start, a running backend with a start time has been restarted. It may have been withdrawn before
-        that, and is noted as well. `scope` and `entries` are those of `Planner.backends_listed`.
+        A proxy keeps a withdrawal when its stream ends, and nothing that this run records shows what an earlier run or
+        another coordinator withdrew. But only a backend that was not running is withdrawn. So one that is listed as
+        running is noted if it
+
+        - was listed as not running, was missing from a complete list, or was not listed before, or
+        - has a start time: it was restarted, and may have been away before the list was read or between two changes.
+
+        In the list that is held at the start, only the latter can be told. `scope` and `entries` are those of
+        `Planner.backends_listed`.
         """
-        if scope == "whole":
-            self.ever_left.update(set(self.names.index.values()).difference(b for b, *_ in entries))
-        self.ever_left.update(
-            b for b, state, *_, started in entries if state != "running" or (scope == "held" and started)
-        )
+        if scope != "changes":
+            self.mark_away(self.running.difference(b for b, *_ in entries))
+        self.mark_away({b for b, state, *_ in entries if state != "running"})
+        running = {b: started for b, state, *_, started in entries if state == "running"}
+        appeared = set() if scope == "held" else running.keys() - self.running
+        restarted = {b for b, started in running.items() if started}
+        found = appeared | (restarted - self.inheritable)
+        self.running.update(running)
+        self.inheritable.update(found)
+        return sorted(found)
+
+    def mark_away(self, backends):
+        """Notes that backends are not listed as running."""
+        self.running.difference_update(backends)
+        self.inheritable.difference_update(backends)
+        for b in backends:
+            self.first_away.setdefault(b, self.join_count)
 
     def typical_rate(self):
         """The sum of the typical rates of all joined proxies."""
         return sum(stream.typical_rate for stream in self.joined.values())
 
     def join(self, proxy, connection, typical_rate, uses_initial_table):
-        """Adds a stream; returns the stream that it replaces, and the number of inherited withdrawals to be reinstated.
+        """Adds a stream; returns the stream that it replaces, and the new one.
 
-        Inherited are the withdrawals that the proxy may hold from earlier streams; those that are in force here are not
-        counted. A proxy with tables from a coordinator may have them from another one, or from an earlier run of this
-        one. It may therefore hold any backend as withdrawn that has ever left.
+        A proxy with tables from a coordinator may hold any backend as withdrawn, also one that this run gets to know
+        later: another coordinator or an earlier run may have told it so. A proxy without such tables may have been
+        withdrawn backends while it waited for its tables. These are taken to be among those that this run has by then
+        seen listed as not running, which spares new proxies a line for each backend of a roll-out.
         """
-        replaced, ever_withdrawn = self.joined.get(proxy), self.ever_withdrawn.setdefault(proxy, set())
-        inherited = set(ever_withdrawn) if uses_initial_table else ever_withdrawn | self.ever_left
+        replaced = self.joined.get(proxy)
         if replaced:
             self.unbind(proxy, replaced)
         self.join_count += 1
         self.joined.pop(proxy, None)  # so that it becomes the last in the order of joining
-        self.joined[proxy] = Stream(connection, typical_rate, ever_withdrawn, inherited, self.join_count)
-        return replaced, len(inherited - self.withdrawn)
+        self.joined[proxy] = Stream(connection, typical_rate, not uses_initial_table, self.join_count)
+        return replaced, self.joined[proxy]
+
+    def may_inherit(self, stream):
+        """Whether the proxy may hold any withdrawal from an earlier stream, as far as is known when it joins."""
+        return stream.inherits_any or bool(self.first_away)
+
+    def inherited(self, stream, backends):
+        """Those of the backends that the proxy may still hold as withdrawn from an earlier stream."""
+        not_reinstated = backends - stream.reinstated
+        if stream.inherits_any:
+            return not_reinstated
+        never = self.join_count
+        return {b for b in not_reinstated if self.first_away.get(b, never) < stream.join_number}
+
+    def inherited_count(self, stream):
+        """How many backends are to be reinstated at a proxy because it may hold them as withdrawn."""
+        return len(self.inherited(stream, self.inheritable - self.withdrawn))
 
     def leave(self, proxy, connection):
         """Ends a stream. Returns False, and does nothing, if the proxy has a newer stream or none."""
@@ -114,7 +150,7 @@
     def bind(self, proxy, table, routes, is_subset=False):
         """Binds routes of a proxy to a table.
 
-        With `is_subset`, a backend that the proxy holds as withdrawn, and that is not withdrawn here, is reinstated
+        With `is_subset`, a backend that the proxy may hold as withdrawn, and that is not withdrawn here, is reinstated
         once a table of the proxy names it; otherwise all of them are reinstated at once. See `withdrawal_parts`.
         """
         if proxy in self.joined:
@@ -132,13 +168,22 @@
         self.changed_withdrawals.add(backend)
 
     def forget(self, backend):
-        """Frees the name and the index of a backend that no table names and no proxy is told of any more."""
-        self.withdrawn.discard(backend)
-        self.ever_left.discard(backend)
-        on_streams = (held for s in self.joined.values() for held in (s.withdrawn, s.inherited))
-        for backends in (*self.ever_withdrawn.values(), *on_streams):
+        """Frees the name and the index of a backend that no table names and no proxy is told of any more.
+
+        Returns the proxies that may hold it as withdrawn: they may hold it still when it is listed again, as new.
+        """
+        holders = []
+        for proxy, stream in self.joined.items():
+            if backend in stream.withdrawn or self.inherited(stream, {backend}):
+                holders.append(proxy)
+                stream.inherits_any = True
+            stream.withdrawn.discard(backend)
+            stream.reinstated.discard(backend)
+        for backends in (self.withdrawn, self.running, self.inheritable):
             backends.discard(backend)
+        self.first_away.pop(backend, None)
         self.names.forget(backend)
+        return holders
 
     def set_admission(self, table, routes, level, tries):
         """Sets level and tries of routes in one table or, with `table` None, in all."""
@@ -169,6 +214,13 @@
         self.affects_withdrawals = bool(self.changed_withdrawals) or any(
             b in self.withdrawn for weights in self.changed_weights.values() for b in weights
         )
+        self.reinstatable = self.inheritable - self.withdrawn
+        # Tables in which the round wrote an entry of a backend that their proxies may hold as withdrawn.
+        self.reinstating_tables = {
+            table
+            for table, weights in self.changed_weights.items()
+            if not self.reinstatable.isdisjoint(b for b, weight in weights.items() if weight)
+        }
         for proxy in self.affected_proxies():
             stream = self.joined[proxy]
             parts = self.message_parts(stream, self.new_bindings.get(proxy, ()))
@@ -211,13 +263,7 @@
             for admission, routes in routes_by_admission.items()
             if admission
         ]
-        # With a subset, a changed weight may name a backend that the proxy still holds as withdrawn, and which is then
-        # reinstated.
-        may_reinstate = stream.is_subset and (stream.withdrawn or stream.inherited)
-        bound_tables = stream.table_by_route.values()
-        changed = self.affects_withdrawals or (
-            may_reinstate and not self.changed_weights.keys().isdisjoint(bound_tables)
-        )
+        changed = self.affects_withdrawals or not self.reinstating_tables.isdisjoint(stream.table_by_route.values())
         return parts + (self.withdrawal_parts(stream, bool(new_routes)) if new_routes or changed else [])
 
     def encode_rows(self, table, routes, is_new):
@@ -244,9 +290,10 @@
         The withdrawal of a backend is sent if a table of the proxy names it. While some routes of the proxy are not
         bound, it is also sent if the round changed it, as the proxy may use the backend on these routes.
 
-        A backend that is not withdrawn here, but that the proxy holds or may hold as withdrawn, is reinstated at each
-        new binding, or if the round changed its withdrawal. With `is_subset`, the conditions are those by which a
-        withdrawal is sent; other backends stay as they are at the proxy.
+        A backend that was withdrawn on this stream, and is not withdrawn any more, is reinstated at each new binding,
+        or if the round changed its withdrawal. With `is_subset`, the conditions are those by which a withdrawal is
+        sent; other backends stay as they are at the proxy. The same holds for backends that the proxy may hold as
+        withdrawn from an earlier stream (`inherited_reinstatements`).
         """
         tables = frozenset(stream.table_by_route.values())
         if tables not in self.backends_in_tables:
@@ -258,21 +305,42 @@
             for b in self.withdrawn - stream.withdrawn
             if b in named or is_partly_bound and b in self.changed_withdrawals
         )
-        undrop = sorted(
+        reinstated_here = {
             b
-            for b in (stream.withdrawn | stream.inherited) - self.withdrawn
+            for b in stream.withdrawn - self.withdrawn
             if (
                 b in named or is_partly_bound and b in self.changed_withdrawals
                 if stream.is_subset
                 else has_new_binding or b in self.changed_withdrawals
             )
-        )
+        }
+        undrop = sorted(reinstated_here | self.inherited_reinstatements(stream, tables, has_new_binding))
         stream.withdrawn.update(drop)
-        stream.ever_withdrawn.update(drop)
         stream.withdrawn.difference_update(undrop)
-        stream.inherited.difference_update(undrop)
+        stream.reinstated.update(undrop)
         return [
             self.encode_once(encode_assign, **{word: tuple(self.names.ids[b] for b in backends)})
             for word, backends in (("drop", drop), ("undrop", undrop))
             if backends
         ]
+
+    def inherited_reinstatements(self, stream, tables, has_new_binding):
+        """Backends that the proxy may hold as withdrawn from an earlier stream and that are reinstated in this round.
+
+        These are, as far as they were not reinstated on this stream before: at a new binding, all of them or, with
+        `is_subset`, those that the proxy's tables name; else those whose entry in these tables the round wrote, and,
+        while some routes of the proxy are not bound, those whose withdrawal it changed.
+        """
+        if not self.reinstatable:
+            return set()
+        if has_new_binding and not stream.is_subset:
+            return self.inherited(stream, self.reinstatable)
+        key = tables, has_new_binding
+        if key not in self.reinstatable_in_tables:
+            weights_of = self.tables if has_new_binding else self.changed_weights
+            named = {b for table in tables for b, weight in weights_of.get(table, {}).items() if weight}
+            self.reinstatable_in_tables[key] = self.reinstatable & named
+        found = self.reinstatable_in_tables[key]
+        if len(stream.table_by_route) < len(self.routes):
+            found = found | (self.reinstatable & self.changed_withdrawals)
+        return self.inherited(stream, found)
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -247,6 +247,10 @@
         self.withdraw_at = None  # withdrawals wait for others until then; None: none waits
         self.withdrawals_overdue = False  # withdrawals that were due did not fit into the channel
         self.repeat_scheduled = False
+        # When backends were last found that proxies may hold as withdrawn from an earlier stream, or were last let back
+        # in, and how many there are, as of the last bindings.
+        self.inheritable_since = 0
+        self.inheritable_count = 0
 
         # Learned capacity of the fleet, for the proxies that are joined here.
         self.fleet_capacity = None  # calls per second; None: not known yet
@@ -328,9 +332,16 @@
             self.withdraw_at = self.now + int(GATHER_GRACES * self.bootstrap.grace)
             self.schedule(int(GATHER_GRACES * self.bootstrap.grace), lambda: setattr(self, "allocation_due", True))
 
+    def withdrawals_inherited(self, backends):
+        """Proxies may hold these running backends as withdrawn from an earlier stream, here or at another coordinator.
+        Their bindings and the next entries of these backends reinstate them, which takes further lines."""
+        self.inheritable_since = self.now
+        for b in backends:
+            self.backends[b].withdrawal_inherited()
+
     def forget_removed_backends(self):
         """Forgets backends that have been gone for long and that no table names, here and, by `Writer.forget`, in the
-        transport, at once. Known weakness: proxies may still hold as withdrawn one that returns under its id."""
+        transport, at once."""
         named = set(self.fallback_backends).union(*self.tables.values())
         for b, backend in list(self.backends.items()):
             if backend.state != "gone":
@@ -338,15 +349,16 @@
             elif self.now - backend.last_present_at > FORGET_GRACES * self.bootstrap.grace and b not in named:
                 del self.backends[b]
                 self.pending_withdrawals.discard(b)
-                self.writer.forget(b)
+                for proxy_id in self.proxies.keys() & (self.writer.forget(b) or ()):
+                    self.proxies[proxy_id].may_inherit = True
 
-    def proxy_joined(self, proxy_id, zone, typical_rate, uses_initial_table, inherited=0):
+    def proxy_joined(self, proxy_id, zone, typical_rate, uses_initial_table, may_inherit=False):
         """A proxy has joined. `typical_rate`: calls per second, by its own account; `uses_initial_table`: it holds only
-        the backends that it drew at its start, no table that a coordinator bound it to; `inherited`: withdrawals that
-        it may still hold from another coordinator."""
+        the backends that it drew at its start, no table that a coordinator bound it to; `may_inherit`: it may hold
+        withdrawals from an earlier stream, here or at another coordinator."""
         self.proxy_left(proxy_id)
         typical_rate = self.demand.join(proxy_id, zone, typical_rate, self.now)
-        self.proxies[proxy_id] = Proxy(proxy_id, zone, typical_rate, self.now, uses_initial_table, inherited)
+        self.proxies[proxy_id] = Proxy(proxy_id, zone, typical_rate, self.now, uses_initial_table, may_inherit)
         self.users.join(proxy_id, self.proxies[proxy_id])
         self.scale_to_joined_demand(zone, typical_rate)
         if not self.repeat_scheduled:
@@ -702,6 +714,7 @@
             self.subset_count = max(int(2 * len(running) / entries), 1)
             for table, b in [(table, b) for table, weights in self.tables.items() for b in weights]:
                 self.writer.set_weight(table, b, 0.0)
+                self.backends[b].entry_removed(table)
             self.tables = {}
             self.theta = {}
             self.layout = Layout(bootstrap.routes, bootstrap.zones, self.subset_count)
@@ -880,6 +893,9 @@
         for b in backends[:count]:
             # Where no proxy has to be told, nothing counts as sent now.
             sent_at = self.now if holders else self.backends[b].withdrawal_sent_at
+            if not withdrawn:
+                self.backends[b].withdrawal_lifted()
+                self.inheritable_since = self.now
             self.backends[b].withdrawn = withdrawn
             self.backends[b].withdrawal_sent_at = sent_at if withdrawn else 0
             self.writer.withdraw(b, withdrawn)
@@ -968,13 +984,8 @@
                 del self.tables[table][b]
             self.writer.set_weight(table, b, weight)
             backend = self.backends[b]
-            # The message may also tell the proxies to withdraw the backend or, if they inherited its withdrawal, to let
-            # it back in. That takes another line.
             backend.withdrawal_sent_at = backend.withdrawal_sent_at or (self.now if backend.withdrawn else 0)
-            may_need_withdrawal_line = backend.withdrawn or (
-                self.subset_count and weight and any(proxy.inherited_count for proxy in users)
-            )
-            self.channel.charge_table(table, 1 + bool(may_need_withdrawal_line), users)
+            self.channel.charge_table(table, self.entry_cost(table, b, weight, users), users)
         to_restore = [
             b
             for b, backend in self.backends.items()
@@ -1029,6 +1040,18 @@
                 self.writer.set_admission(None, (route,), level, RETRY_ONLY_ON_PROOF)
                 self.channel.charge(proxies)
 
+    def entry_cost(self, table, b, weight, users):
+        """Lines that a change of an entry takes at each user of its table: one, and another where the message may also
+        tell it to withdraw the backend or, if it holds the backend as withdrawn, to let it back in."""
+        backend = self.backends[b]
+        if not weight:
+            backend.entry_removed(table)
+            return 1 + backend.withdrawn
+        may_reinstate = backend.entry_written(table) and (
+            backend.withdrawal_was_sent or any(proxy.may_inherit for proxy in users)
+        )
+        return 1 + (backend.withdrawn or may_reinstate)
+
     def urgent_entries(self, theta, weights):
         """Rule 4: the entries of a subset's table that cannot wait: all of a table whose written weights bring a cold
         backend far more than its decided share, or in which running backends with an entry make up less than
@@ -1072,7 +1095,7 @@
         for b in added[:FALLBACK_TABLE_ENTRIES] if too_few else ():
             if self.has_room(users, BACKLOG_NEW_ENTRIES):
                 self.writer.set_weight(fallback_table, b, 1.0)
-                self.channel.charge(users)
+                self.channel.charge(users, self.entry_cost(fallback_table, b, 1.0, users))
                 self.fallback_backends.append(b)
         for proxy_id, routes in waiting.items() if self.fallback_backends else ():
             proxy = self.proxies[proxy_id]
@@ -1082,15 +1105,20 @@
             if routes and not proxy.on_fallback_table and self.has_room([proxy], BACKLOG_NEW_ENTRIES, cost):
                 self.writer.bind(proxy_id, fallback_table, routes)
                 proxy.on_fallback_table = True
+                proxy.bound_at = self.now
                 self.channel.charge([proxy], cost)
 
     def binding_cost(self, backends, proxy, withdrawn=None):
         """Lines of a message that binds a proxy to a table of these backends: the binding, levels, entries,
-        withdrawals, and inherited withdrawals that are lifted. These are withdrawals that the proxy holds from another
-        coordinator; its first binding here lifts them, with subsets only those of the table's backends. `withdrawn`:
-        how many of the backends are withdrawn, if the caller knows."""
-        liftable = len(backends) if self.subset_count else proxy.inherited_count
-        lifted = 0 if proxy.bound_tables or proxy.on_fallback_table else min(proxy.inherited_count, liftable)
+        withdrawals, and inherited withdrawals that are lifted. These are withdrawals that the proxy may hold from an
+        earlier stream; a binding lifts all of them, unless an earlier one has done so, or with subsets those of the
+        table's backends. `withdrawn`: how many of the backends are withdrawn, if the caller knows."""
+        if not proxy.may_inherit:
+            lifted = 0
+        elif self.subset_count:
+            lifted = sum(self.backends[b].inheritable for b in backends)
+        else:
+            lifted = self.inheritable_count if proxy.bound_at < self.inheritable_since else 0
         withdrawn = sum(self.backends[b].withdrawn for b in backends) if withdrawn is None else withdrawn
         return 1 + len(self.bootstrap.routes) + len(backends) + withdrawn + lifted
 
@@ -1102,8 +1130,11 @@
             while self.fallback_backends:
                 # The id as in `bind_to_fallback_table`.
                 fallback_table = len(self.bootstrap.routes) * (1 + self.bootstrap.zones)
-                self.writer.set_weight(fallback_table, self.fallback_backends.pop(), 0.0)
+                removed = self.fallback_backends.pop()
+                self.backends[removed].entry_removed(fallback_table)
+                self.writer.set_weight(fallback_table, removed, 0.0)
             return
+        self.inheritable_count = sum(backend.inheritable for backend in self.backends.values())
         demands = self.demands()
         # Heap of (has a coordinator's tables, negative rate per entry, proxy, table, route): proxies that hold only
         # what they drew at their start come first; among equals, bindings with the most calls per entry.
@@ -1151,6 +1182,7 @@
                 continue
             self.writer.bind(proxy_id, table, (route,))
             self.users.bind(proxy_id, proxy, table)
+            proxy.bound_at = self.now
             self.channel.charge([proxy], cost)
             self.channel.exclude_lines_before_binding(proxy, (table,))
         if delayed and use_fallback:
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -103,8 +103,10 @@
         for name, state, *_ in entries:
             self.log.info("listed", scope=scope, uid=name, state=state)
         indexed = [(self.names(name), *rest) for name, *rest in entries]
-        self.streams.backends_listed(scope, indexed)
+        inheritable = self.streams.backends_listed(scope, indexed)
         self.queue_event(("backends_listed", scope, indexed))
+        if inheritable:
+            self.queue_event(("withdrawals_inherited", inheritable))
 
     def stream_attached(self, connection, zone, typical_rate, uses_initial_table):
         """A connection has identified itself as a proxy's stream."""
@@ -118,12 +120,22 @@
         `uses_initial_table`: the proxy holds only the backends that it drew at its start, no table of a coordinator (in
         the log `cold=`). `inherited`: the number of withdrawals that the proxy may still hold from earlier streams, of
         this coordinator or of another one (in the log `brought=`)."""
-        replaced, inherited = self.streams.join(connection.proxy, connection, typical_rate, uses_initial_table)
+        replaced, stream = self.streams.join(connection.proxy, connection, typical_rate, uses_initial_table)
         self.decoder.typical_rate = self.streams.typical_rate()
         if replaced:
             replaced.connection.end(Reason.REPLACED)
+        inherited = self.streams.inherited_count(stream)
         self.log.info("joined", proxy=connection.proxy, zone=zone, cold=uses_initial_table, brought=inherited)
-        self.queue_event(("proxy_joined", connection.proxy, zone, typical_rate, uses_initial_table, inherited))
+        self.queue_event(
+            (
+                "proxy_joined",
+                connection.proxy,
+                zone,
+                typical_rate,
+                uses_initial_table,
+                self.streams.may_inherit(stream),
+            )
+        )
 
     def connection_closed(self, connection):
         if connection.proxy is None:
--- a/tests/planner_harness.py
+++ b/tests/planner_harness.py
@@ -147,9 +147,20 @@
 
     def join(self, proxy, uses_initial_table=True):
         """Joins a proxy; returns how many withdrawals, to be reinstated, it may hold from an earlier stream."""
-        _, inherited_count = self.streams.join(proxy, object(), 20.0, uses_initial_table)
+        _, stream = self.streams.join(proxy, object(), 20.0, uses_initial_table)
         self.comment(f"proxy {proxy} joins{'' if uses_initial_table else ' with tables from a coordinator'}")
-        return inherited_count
+        return self.streams.inherited_count(stream)
+
+    def join_event(self, proxy, zone, typical_rate, uses_initial_table):
+        """Joins a proxy; returns the planner's event of it, as `Coordinator.join_stream` does."""
+        self.join(proxy, uses_initial_table)
+        may_inherit = self.streams.may_inherit(self.streams.joined[proxy])
+        return "proxy_joined", proxy, zone, typical_rate, uses_initial_table, may_inherit
+
+    def list_backends(self, scope, entries):
+        """Takes a list as `Coordinator.update_backends` does; returns the planner's events of it."""
+        inheritable = self.streams.backends_listed(scope, entries)
+        return [("backends_listed", scope, entries), ("withdrawals_inherited", inheritable)][: 1 + bool(inheritable)]
 
     def flush(self):
         """The round's messages by proxy; they are appended to the trace as well."""
--- a/tests/test_cold_backends.py
+++ b/tests/test_cold_backends.py
@@ -21,10 +21,9 @@
         """`cold`: backends that have just started."""
         self.started_at.update(dict.fromkeys(cold, self.now - SECOND // 2))
         super().list_backends(states, scope)
-        event, scope, entries = self.events.pop()
-        starts = [self.started_at.get(int(self.harness.names.ids[entry[0]][2:]), 0) for entry in entries]
-        entries = [(*entry[:5], start) for entry, start in zip(entries, starts, strict=True)]
-        self.events.append((event, scope, entries))
+
+    def start_time(self, backend):
+        return self.started_at.get(backend, 0)
 
     def warmth(self, backend):
         age = (self.now - self.started_at.get(backend, 0)) / self.bootstrap.warm_up_time
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import socket
+import time
 
 import pytest
 
@@ -19,6 +20,7 @@
 from cranecleat.protocol.reasons import Reason
 from planner_harness import CoordinatorProcess, http_chunk
 from service_harness import ServiceHarness
+from test_stream_messages import SimulatedProxy
 
 RESPONSE_HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
 HEARTBEAT = b"1\r\n\n\r\n"
@@ -488,6 +490,197 @@
     assert "drop=" not in harness.received(proxy) and not harness.coordinator.streams.withdrawn
 
 
+# Withdrawals that outlast streams and runs: what a proxy was told to shut out it keeps until it is told otherwise
+
+
+class ConnectedProxy(SimulatedProxy):
+    """A proxy that keeps what it holds when its stream ends, and applies what it is sent on the next one."""
+
+    def attach(self, harness, number=3):
+        self.harness = harness
+        self.connection = harness.connect(f"attach node={number} locality=a w=6.5 cold={int(not self.is_bound())}")
+        harness.settle()
+        return self
+
+    def is_bound(self):
+        return any(self.tables.values())
+
+    def read(self):
+        """Applies the messages that have come, and acknowledges them."""
+        message = []
+        for line in self.harness.received(self.connection).splitlines(keepends=True):
+            message.append(line)
+            if not line.endswith("part=1\r\n"):
+                self.apply("".join(message))
+                number = line.rpartition("stamp=")[2].strip()
+                self.connection.sendall(f"done node=3 nonce={number} latency=1\r\n".encode())
+                message = []
+
+    def uses(self, name):
+        """Whether each of its tables names the backend, and it does not hold it as withdrawn."""
+        return all(name in weights for weights in self.tables.values()) and name not in self.withdrawn
+
+
+def pass_time(harness, watch, *proxies, seconds):
+    """Moves the time on while discovery sends heartbeats and the proxies apply what they are sent."""
+    for _ in range(seconds):
+        watch.sendall(HEARTBEAT)
+        harness.advance(1.0)
+        for proxy in proxies:
+            proxy.read()
+
+
+def list_entries(harness, rev, full=False, restarted=(), **states):
+    """A line of the watch; the backends in `restarted` have a recent start time."""
+    document = harness.service.list_backends(rev, full, **states)
+    for entry in document["targets"]:
+        entry["boot_ms"] = int(time.time() * 1000) if entry["uid"] in restarted else 0
+    return http_chunk(document)
+
+
+def withdraw_in_an_earlier_run(tmp_path, monkeypatch):
+    """A proxy that an earlier run bound to s-1 and s-2 and then told to withdraw s-2, which had left."""
+    folder = tmp_path / "earlier"
+    folder.mkdir()
+    known = CoordinatorProcess(folder).list_backends(41, s_1="active", s_2="active")
+    with ServiceHarness(folder, monkeypatch, known=known) as harness:
+        watch, _ = harness.accept_watch()
+        watch.sendall(RESPONSE_HEAD)
+        proxy = ConnectedProxy().attach(harness)
+        pass_time(harness, watch, proxy, seconds=2)
+        assert proxy.uses("s-1") and proxy.uses("s-2")
+        watch.sendall(list_entries(harness, 42, s_2="left"))
+        pass_time(harness, watch, proxy, seconds=2)
+        assert proxy.withdrawn == {"s-2"}
+    return proxy
+
+
+@pytest.mark.parametrize("joins", ["before", "after"])
+@pytest.mark.parametrize(
+    "known, later",
+    [
+        ({"s_1": "active"}, {"restarted": ("s-2",), "s_2": "active"}),
+        ({"s_1": "active"}, {"s_2": "active"}),
+        ({"s_1": "active"}, {"full": True, "restarted": ("s-2",), "s_1": "active", "s_2": "active"}),
+        ({"s_1": "active", "s_2": "active"}, {"restarted": ("s-2",), "s_2": "active"}),
+        (
+            {"s_1": "active", "s_2": "active"},
+            {"full": True, "restarted": ("s-2",), "s_1": "active", "s_2": "active"},
+        ),
+    ],
+    ids=[
+        "not in the known list",
+        "not in the known list, without a start time",
+        "not in the known list, in a whole list later",
+        "in an older known list",
+        "in an older known list, in a whole list later",
+    ],
+)
+def test_a_backend_that_returns_after_a_restart_is_reinstated(tmp_path, monkeypatch, known, later, joins):
+    """Guards against proxies that shut a backend out for good, as an earlier run told them, although it runs again."""
+    proxy = withdraw_in_an_earlier_run(tmp_path, monkeypatch)
+    known = CoordinatorProcess(tmp_path).list_backends(43, **known)
+    with ServiceHarness(tmp_path, monkeypatch, known=known) as harness:
+        watch, _ = harness.accept_watch()
+        watch.sendall(RESPONSE_HEAD)
+        if joins == "before":
+            proxy.attach(harness)
+            pass_time(harness, watch, proxy, seconds=5)
+        watch.sendall(list_entries(harness, 44, **later))
+        harness.settle()
+        if joins == "after":
+            proxy.attach(harness)
+        pass_time(harness, watch, proxy, seconds=5)
+        assert proxy.uses("s-2") and proxy.uses("s-1"), proxy.withdrawn
+        watch.sendall(list_entries(harness, 45, s_2="left"))
+        pass_time(harness, watch, proxy, seconds=2)
+        assert proxy.withdrawn == {"s-2"}, "it is withdrawn again when it leaves again"
+
+
+def test_a_backend_whose_absence_only_another_coordinator_saw_is_reinstated(harness):
+    """Guards against proxies that shut a backend out for good where this run's list shows its new start time alone."""
+    watch, _ = harness.accept_watch()
+    watch.sendall(RESPONSE_HEAD + list_entries(harness, 42, s_2="active"))
+    harness.settle()
+    proxy = ConnectedProxy()
+    proxy.tables = {"read": {"s-1": 1.0, "s-2": 1.0}, "find": {"s-1": 1.0, "s-2": 1.0}}
+    proxy.withdrawn = {"s-2"}
+    proxy.attach(harness)
+    pass_time(harness, watch, proxy, seconds=5)
+    watch.sendall(list_entries(harness, 43, restarted=("s-2",), s_2="active"))
+    pass_time(harness, watch, proxy, seconds=5)
+    assert proxy.uses("s-2"), proxy.withdrawn
+
+
+def test_a_backend_withdrawn_from_a_proxy_that_still_waits_is_reinstated_on_its_next_stream(harness):
+    """Guards against new proxies that shut a backend out for good because they were told so before they were bound."""
+    watch, _ = harness.accept_watch()
+    watch.sendall(RESPONSE_HEAD + list_entries(harness, 42, s_2="active"))
+    harness.settle()
+    watch.sendall(list_entries(harness, 43, s_2="left"))
+    pass_time(harness, watch, seconds=2)
+    watch.sendall(list_entries(harness, 44, restarted=("s-2",), s_2="active"))
+    pass_time(harness, watch, seconds=2)
+    proxy = ConnectedProxy()
+    proxy.withdrawn = {"s-2"}  # by another coordinator, which did not bind it
+    proxy.attach(harness)
+    pass_time(harness, watch, proxy, seconds=3)
+    assert proxy.uses("s-2"), proxy.withdrawn
+
+
+def test_a_backend_that_returns_long_after_it_was_forgotten_is_reinstated(harness):
+    """Guards against proxies that shut a backend out for good because it was away for longer than it is remembered."""
+    watch, _ = harness.accept_watch()
+    watch.sendall(RESPONSE_HEAD + list_entries(harness, 42, s_2="active"))
+    harness.settle()
+    proxy = ConnectedProxy().attach(harness)
+    pass_time(harness, watch, proxy, seconds=2)
+    watch.sendall(list_entries(harness, 43, s_2="left"))
+    pass_time(harness, watch, proxy, seconds=3)
+    assert proxy.withdrawn == {"s-2"}
+    while "s-2" in harness.coordinator.names.index:
+        pass_time(harness, watch, proxy, seconds=1)
+    watch.sendall(list_entries(harness, 44, restarted=("s-2",), s_2="active"))
+    pass_time(harness, watch, proxy, seconds=5)
+    assert proxy.uses("s-2"), proxy.withdrawn
+
+
+def test_what_files_withdrew_is_reinstated_on_a_stream_that_was_opened_before(harness):
+    """Guards against proxies that bring a withdrawal from files to a stream that they opened without any tables."""
+    watch, _ = harness.accept_watch()
+    watch.sendall(RESPONSE_HEAD + list_entries(harness, 42, s_2="active"))
+    harness.settle()
+    watch.sendall(list_entries(harness, 43, s_2="left"))
+    proxy = ConnectedProxy()
+    files = WaitingFiles()
+    harness.coordinator.use_files_transport(files, harness.coordinator.writer)
+    proxy.attach(harness)  # the stream waits, as files serve the proxy
+    pass_time(harness, watch, seconds=2)
+    proxy.withdrawn = {"s-2"}  # through files, which also bind it
+    watch.sendall(list_entries(harness, 44, restarted=("s-2",), s_2="active"))
+    pass_time(harness, watch, seconds=2)
+    harness.coordinator.join_stream(*files.waiting_streams.pop(3))
+    pass_time(harness, watch, proxy, seconds=3)
+    assert proxy.uses("s-2"), proxy.withdrawn
+
+
+class WaitingFiles:
+    """The files transport as the coordinator sees it while files serve each proxy: all streams wait."""
+
+    def __init__(self):
+        self.waiting_streams = {}
+
+    def stream_opened(self, connection, zone, typical_rate, uses_initial_table):
+        self.waiting_streams[connection.proxy] = connection, zone, typical_rate, uses_initial_table
+        return False
+
+    def publish(self):
+        pass
+
+    def stream_closed(self, connection, served):
+        pass
+
+
 # Draining
 
 
--- a/tests/test_stream_messages.py
+++ b/tests/test_stream_messages.py
@@ -91,9 +91,12 @@
 
 def test_an_inherited_withdrawal_is_reinstated_when_the_proxy_is_bound():
     harness = with_bound_proxies(1)
+    harness.list_backends("held", [(b, "running", 0, 0, 1.0, 90 * SECOND * (b == 3)) for b in range(4)])
+    harness.list_backends("changes", [(1, "gone", 0, 0, 1.0, 0)])
     harness.streams.withdraw(1, True)
     harness.flush()
     harness.comment("its stream breaks and is opened again; meanwhile 1 is reinstated and 2 withdrawn")
+    harness.list_backends("changes", [(1, "running", 0, 0, 1.0, 0), (2, "gone", 0, 0, 1.0, 0)])
     harness.streams.withdraw(1, False)
     harness.streams.withdraw(2, True)
     harness.streams.leave(0, harness.streams.joined[0].connection)
@@ -104,8 +107,6 @@
     harness.streams.bind(0, 1, (1,))
     harness.flush()
     harness.comment("3, which no table names, was restarted before the list that is held at the start, 0 was not")
-    harness.streams.backends_listed("held", [(b, "running", 0, 0, 1.0, 90 * SECOND * (b == 3)) for b in range(4)])
-    harness.streams.backends_listed("changes", [(b, "gone", 0, 0, 1.0, 0) for b in (1, 2)])
     harness.comment(
         f"may hold {harness.join(5, uses_initial_table=False)}: from another coordinator, or from an earlier run"
     )
@@ -174,23 +175,20 @@
     harness, draw = StreamsHarness(8), [zlib.crc32(f"life:{n}".encode()) for n in range(9000)]
     planner, now, proxies = Planner(BOOTSTRAP, 7), 100 * SECOND, {}
     state, written = dict.fromkeys(range(8), "running"), []
-    events = [("backends_listed", "held", [(b, "running", 0, 0, 1.0, 0) for b in state])]
+    events = harness.list_backends("held", [(b, "running", 0, 0, 1.0, 0) for b in state])
     for _ in range(600):
         now += SECOND // 4
         if draw[-1] % 3 == 0:
             b = draw.pop() % 8
             state[b] = {"running": "draining", "draining": "gone", "gone": "running"}[state[b]]
-            events.append(
-                ("backends_listed", "changes", [(b, state[b], 0, 0, 1.0, now if state[b] == "running" else 0)])
-            )
-            harness.streams.backends_listed(*events[-1][1:])
+            started = now if state[b] == "running" else 0
+            events += harness.list_backends("changes", [(b, state[b], 0, 0, 1.0, started)])
         if draw[-2] % 4 == 0:
             p, uses_initial_table = draw.pop() % 6, draw.pop() % 2 == 0
             proxies[p] = SimulatedProxy() if uses_initial_table or p not in proxies else proxies[p]
             if not uses_initial_table and draw.pop() % 2:
                 proxies[p].withdrawn |= {f"s-{b}" for b in (1, 2, 5)}  # by another coordinator
-            inherited = harness.join(p, uses_initial_table)
-            events.append(("proxy_joined", p, 0, 20.0, uses_initial_table, inherited))
+            events.append(harness.join_event(p, 0, 20.0, uses_initial_table))
         elif draw[-3] % 4 == 0 and proxies:
             p = draw.pop() % 6
             if p in harness.streams.joined:
@@ -232,15 +230,15 @@
     """Withdrawals are sent again for proxies that join later; a proxy that has them gets nothing to acknowledge."""
     harness, planner = StreamsHarness(12), Planner(replace(BOOTSTRAP, backlog=600, channel_lines_per_second=600.0), 7)
     events, now, queues = (
-        [("backends_listed", "held", [(b, "running", 0, 0, 1.0, 0) for b in range(12)])],
+        harness.list_backends("held", [(b, "running", 0, 0, 1.0, 0) for b in range(12)]),
         100 * SECOND,
         [],
     )
     for step in range(28):
         if step == 1:
-            events.append(("backends_listed", "changes", [(b, "gone", 0, 0, 1.0, 0) for b in range(8, 12)]))
+            events += harness.list_backends("changes", [(b, "gone", 0, 0, 1.0, 0) for b in range(8, 12)])
         joining = range(30) if step == 0 else [30 + step] if step < 12 else []
-        events += [("proxy_joined", p, 0, 20.0, True, harness.join(p)) for p in joining]
+        events += [harness.join_event(p, 0, 20.0, True) for p in joining]
         planner.round(now, events, harness.streams)
         ack_number, sent = harness.streams.ack_number, harness.flush()
         unacknowledged = planner.channel.unacknowledged
--- a/tests/test_subsets.py
+++ b/tests/test_subsets.py
@@ -50,9 +50,14 @@
             if (state == "running") != (self.state.get(b) == "running"):
                 self.listed_at[b] = self.now
             self.state[b] = state
-        entries = [(self.harness.names(f"s-{b}"), state, b % 2, 0, 1.0, 0) for b, state in states.items()]
-        self.harness.streams.backends_listed(scope, entries)
-        self.events.append(("backends_listed", scope, entries))
+        entries = [
+            (self.harness.names(f"s-{b}"), state, b % 2, 0, 1.0, self.start_time(b)) for b, state in states.items()
+        ]
+        self.events += self.harness.list_backends(scope, entries)
+
+    def start_time(self, backend):
+        """When the backend started, in microseconds, as the list states it; 0: not stated."""
+        return 0
 
     def join(self, p, draw=0):
         """Joins a proxy with six backends of its own choice, or with the tables that it was sent before."""
@@ -64,8 +69,7 @@
             self.proxies[p] = proxy
         self.joined_at[p] = self.now
         self.sending = deque(entry for entry in self.sending if entry[0] != p)
-        inherited = self.harness.join(p, uses_initial_table)
-        self.events.append(("proxy_joined", p, p % 2, 5.0, uses_initial_table, inherited))
+        self.events.append(self.harness.join_event(p, p % 2, 5.0, uses_initial_table))
 
     def leave(self, p):
         if self.joined_at.pop(p, None) is not None:
@@ -339,12 +343,11 @@
             pending_lists.append(("changes", changes))
         for scope, states in pending_lists:
             entries = [(harness.names(f"s-{b}"), new_state, b % 2, 0, 1.0, 0) for b, new_state in states.items()]
-            harness.streams.backends_listed(scope, entries)
-            events.append(("backends_listed", scope, entries))
+            events += harness.list_backends(scope, entries)
         pending_lists = []
         for p in draw.sample(range(200), draw.choice([0, 0, 1, 10, 60])):
             uses_initial_table = draw.random() < 0.5
-            events.append(("proxy_joined", p, p % 2, 5.0, uses_initial_table, harness.join(p, uses_initial_table)))
+            events.append(harness.join_event(p, p % 2, 5.0, uses_initial_table))
             joined.add(p)
         for _ in range(draw.choice([0, 5, 40, 200])):
             if sent:
