Streams: what proxies inherit in a module of its own; one name for the fallback table's id

Change: `memory/inherited.py` keeps what the list says about withdrawals that proxies may hold; `Streams` asks it. `Planner.fallback_table` holds the id. Behaviour is as before.

--- a/benchmarks/rounds.py
+++ b/benchmarks/rounds.py
@@ -171,7 +171,7 @@
 
     def join(self, p):
         self.streams.join(p, p, 10.0, True)
-        return ("proxy_joined", p, p % ZONES, 10.0, True, 0)
+        return ("proxy_joined", p, p % ZONES, 10.0, True, False)
 
     def leave(self, p):
         self.streams.leave(p, p)
--- a/cranecleat/memory/streams.py
+++ b/cranecleat/memory/streams.py
@@ -5,6 +5,7 @@
 many proxies. A `proxy` is a proxy's id here, and a `Stream` holds what is known of it.
 """
 
+from cranecleat.memory.inherited import InheritedWithdrawals
 from cranecleat.protocol.lines import encode_assign, join_lines
 
 
@@ -34,10 +35,7 @@
         self.joined = {}  # proxy -> stream
         self.tables = {}  # table -> {backend: weight}
         self.withdrawn = set()  # backends that the planner has withdrawn
-        self.running = set()  # backends that the list shows as running
-        # Running backends that a proxy may hold as withdrawn from an earlier stream: see `backends_listed`.
-        self.inheritable = set()
-        self.first_away = {}  # backend that was ever listed as not running -> `join_count` when it first was
+        self.inherited = InheritedWithdrawals()
         self.admissions = {}  # (table or None for all, route) -> (level, tries)
         self.clear()
 
@@ -57,35 +55,9 @@
     # Which proxies are joined
 
     def backends_listed(self, scope, entries):
-        """Notes which running backends a proxy may hold as withdrawn. Returns those that are noted newly.
-
-        A proxy keeps a withdrawal when its stream ends, and nothing that this run records shows what an earlier run or
-        another coordinator withdrew. But only a backend that was not running is withdrawn. So one that is listed as
-        running is noted if it
-
-        - was listed as not running, was missing from a complete list, or was not listed before, or
-        - has a start time: it was restarted, and may have been away before the list was read or between two changes.
-
-        In the list that is held at the start, only the latter can be told. `scope` and `entries` are those of
-        `Planner.backends_listed`.
-        """
-        if scope != "changes":
-            self.mark_away(self.running.difference(b for b, *_ in entries))
-        self.mark_away({b for b, state, *_ in entries if state != "running"})
-        running = {b: started for b, state, *_, started in entries if state == "running"}
-        appeared = set() if scope == "held" else running.keys() - self.running
-        restarted = {b for b, started in running.items() if started}
-        found = appeared | (restarted - self.inheritable)
-        self.running.update(running)
-        self.inheritable.update(found)
-        return sorted(found)
-
-    def mark_away(self, backends):
-        """Notes that backends are not listed as running."""
-        self.running.difference_update(backends)
-        self.inheritable.difference_update(backends)
-        for b in backends:
-            self.first_away.setdefault(b, self.join_count)
+        """Takes a list of backends, with the values of `Planner.backends_listed`. Returns the running backends that
+        proxies may hold as withdrawn, as far as that was not known before."""
+        return self.inherited.list_changed(scope, entries, self.join_count)
 
     def typical_rate(self):
         """The sum of the typical rates of all joined proxies."""
@@ -109,19 +81,11 @@
 
     def may_inherit(self, stream):
         """Whether the proxy may hold any withdrawal from an earlier stream, as far as is known when it joins."""
-        return stream.inherits_any or bool(self.first_away)
-
-    def inherited(self, stream, backends):
-        """Those of the backends that the proxy may still hold as withdrawn from an earlier stream."""
-        not_reinstated = backends - stream.reinstated
-        if stream.inherits_any:
-            return not_reinstated
-        never = self.join_count
-        return {b for b in not_reinstated if self.first_away.get(b, never) < stream.join_number}
+        return self.inherited.may_inherit(stream)
 
     def inherited_count(self, stream):
         """How many backends are to be reinstated at a proxy because it may hold them as withdrawn."""
-        return len(self.inherited(stream, self.inheritable - self.withdrawn))
+        return len(self.inherited.held_by(stream, self.inherited.inheritable - self.withdrawn))
 
     def leave(self, proxy, connection):
         """Ends a stream. Returns False, and does nothing, if the proxy has a newer stream or none."""
@@ -174,14 +138,13 @@
         """
         holders = []
         for proxy, stream in self.joined.items():
-            if backend in stream.withdrawn or self.inherited(stream, {backend}):
+            if backend in stream.withdrawn or self.inherited.held_by(stream, {backend}):
                 holders.append(proxy)
                 stream.inherits_any = True
             stream.withdrawn.discard(backend)
             stream.reinstated.discard(backend)
-        for backends in (self.withdrawn, self.running, self.inheritable):
-            backends.discard(backend)
-        self.first_away.pop(backend, None)
+        self.withdrawn.discard(backend)
+        self.inherited.forget(backend)
         self.names.forget(backend)
         return holders
 
@@ -214,7 +177,7 @@
         self.affects_withdrawals = bool(self.changed_withdrawals) or any(
             b in self.withdrawn for weights in self.changed_weights.values() for b in weights
         )
-        self.reinstatable = self.inheritable - self.withdrawn
+        self.reinstatable = self.inherited.inheritable - self.withdrawn
         # Tables in which the round wrote an entry of a backend that their proxies may hold as withdrawn.
         self.reinstating_tables = {
             table
@@ -334,7 +297,7 @@
         if not self.reinstatable:
             return set()
         if has_new_binding and not stream.is_subset:
-            return self.inherited(stream, self.reinstatable)
+            return self.inherited.held_by(stream, self.reinstatable)
         key = tables, has_new_binding
         if key not in self.reinstatable_in_tables:
             weights_of = self.tables if has_new_binding else self.changed_weights
@@ -343,4 +306,4 @@
         found = self.reinstatable_in_tables[key]
         if len(stream.table_by_route) < len(self.routes):
             found = found | (self.reinstatable & self.changed_withdrawals)
-        return self.inherited(stream, found)
+        return self.inherited.held_by(stream, found)
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -218,7 +218,9 @@
         self.demand_shares = {}  # table -> share of the demand that its proxies bring; empty without subsets
         self.subset_load = []  # subset -> [calls per second of its proxies, capacity]
 
-        self.fallback_backends = []  # entries of the table for proxies that wait for a binding
+        # The table for proxies that wait for a binding: the first id that a `Layout` without subsets does not use.
+        self.fallback_table = len(bootstrap.routes) * (1 + bootstrap.zones)
+        self.fallback_backends = []  # its entries
         self.cold_shares = {}  # cold backend -> its share of the fleet's capacity
 
         # Admission by route.
@@ -1086,16 +1088,14 @@
         usable = {
             b for b in serve_all_routes if self.warmth(self.backends[b]) >= 1.0 and not self.backends[b].withdrawn
         }
-        # The first id that a `Layout` without subsets does not use.
-        fallback_table = len(self.bootstrap.routes) * (1 + self.bootstrap.zones)
         users = [proxy for proxy in self.proxies.values() if proxy.on_fallback_table]
         # By descending multiplier in table 0, the shared table of route 0 for all zones; without that table, by id.
         added = sorted(usable - set(self.fallback_backends), key=lambda b: (-self.theta.get(0, {}).get(b, 0.0), b))
         too_few = 2 * len(usable & set(self.fallback_backends)) < FALLBACK_TABLE_ENTRIES
         for b in added[:FALLBACK_TABLE_ENTRIES] if too_few else ():
             if self.has_room(users, BACKLOG_NEW_ENTRIES):
-                self.writer.set_weight(fallback_table, b, 1.0)
-                self.channel.charge(users, self.entry_cost(fallback_table, b, 1.0, users))
+                self.writer.set_weight(self.fallback_table, b, 1.0)
+                self.channel.charge(users, self.entry_cost(self.fallback_table, b, 1.0, users))
                 self.fallback_backends.append(b)
         for proxy_id, routes in waiting.items() if self.fallback_backends else ():
             proxy = self.proxies[proxy_id]
@@ -1103,7 +1103,7 @@
             # The fallback table has backends of all zones, so it cannot serve routes that stay in the proxy's zone.
             routes = [route for route in routes if not self.bootstrap.routes[route].own_zone]
             if routes and not proxy.on_fallback_table and self.has_room([proxy], BACKLOG_NEW_ENTRIES, cost):
-                self.writer.bind(proxy_id, fallback_table, routes)
+                self.writer.bind(proxy_id, self.fallback_table, routes)
                 proxy.on_fallback_table = True
                 proxy.bound_at = self.now
                 self.channel.charge([proxy], cost)
@@ -1128,11 +1128,9 @@
         self.bindings_delayed = False
         if not self.users.waiting:
             while self.fallback_backends:
-                # The id as in `bind_to_fallback_table`.
-                fallback_table = len(self.bootstrap.routes) * (1 + self.bootstrap.zones)
                 removed = self.fallback_backends.pop()
-                self.backends[removed].entry_removed(fallback_table)
-                self.writer.set_weight(fallback_table, removed, 0.0)
+                self.backends[removed].entry_removed(self.fallback_table)
+                self.writer.set_weight(self.fallback_table, removed, 0.0)
             return
         self.inheritable_count = sum(backend.inheritable for backend in self.backends.values())
         demands = self.demands()
