--- a/cranecleat/bookkeeping/known.py
+++ b/cranecleat/bookkeeping/known.py
@@ -20,6 +20,7 @@
         # have been told since then to use it again.
         self.inheritable = False
         self.reinstated_in = set()
+        self.rewritten_in = set()  # tables in which its entry is to be written again, whatever its weight
         self.withdrawal_was_sent = False  # whether a proxy was told to withdraw it before it was last reinstated
         self.reset_measurements()
 
@@ -59,9 +60,10 @@
         if self.state != "gone":
             self.state, self.due_since, self.inheritable = "gone", now, False
 
-    def withdrawal_inherited(self):
-        """Notes that proxies may hold it as withdrawn from an earlier stream, although it runs."""
-        self.inheritable, self.reinstated_in = True, set()
+    def withdrawal_inherited(self, tables):
+        """Notes that proxies may hold it as withdrawn from an earlier stream, although it runs. `tables`: those that
+        name it; only an entry that is written reinstates it at their proxies."""
+        self.inheritable, self.reinstated_in, self.rewritten_in = True, set(), tables
 
     def withdrawal_lifted(self):
         """Notes that it is reinstated. With subsets, a proxy that was told to withdraw it is told otherwise only once a
@@ -72,6 +74,7 @@
     def entry_written(self, table):
         """Notes that its entry in a table is written. Returns whether this reinstates it at the table's proxies, as far
         as they hold it as withdrawn."""
+        self.rewritten_in.discard(table)
         if self.withdrawn or not self.inheritable or table in self.reinstated_in:
             return False
         self.reinstated_in.add(table)
@@ -80,6 +83,7 @@
     def entry_removed(self, table):
         """Notes that its entry in a table is removed: proxies that are bound to it then have not been told."""
         self.reinstated_in.discard(table)
+        self.rewritten_in.discard(table)
 
     def record_tries(self, tries, unanswered, keep):
         """Adds tries; `keep` is the part that remains of the earlier sums."""
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -339,7 +339,7 @@
         Their bindings and the next entries of these backends reinstate them, which takes further lines."""
         self.inheritable_since = self.now
         for b in backends:
-            self.backends[b].withdrawal_inherited()
+            self.backends[b].withdrawal_inherited({table for table, weights in self.tables.items() if b in weights})
 
     def forget_removed_backends(self):
         """Forgets backends that have been gone for long and that no table names, here and, by `Writer.forget`, in the
@@ -948,7 +948,7 @@
             for b, t in theta.items():
                 weight = float(f"{t * len(theta):.3g}")
                 old = weights.get(b, 0.0)
-                if abs(weight - old) > WEIGHT_TOLERANCE * old:
+                if abs(weight - old) > WEIGHT_TOLERANCE * old or table in self.backends[b].rewritten_in:
                     missing = old == 0.0 or self.backends[b].withdrawn
                     usual_priority = MISSING_ENTRY if missing else OTHER_CHANGE
                     priority = EMPTY_TABLE if empty else SKEWED_TABLE if b in urgent else usual_priority
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -18,7 +18,7 @@
     MAX_REDIAL_DELAY_US,
 )
 from cranecleat.protocol.reasons import Reason
-from planner_harness import CoordinatorProcess, http_chunk
+from planner_harness import SETTINGS, CoordinatorProcess, http_chunk
 from service_harness import ServiceHarness
 from test_stream_messages import SimulatedProxy
 
@@ -597,19 +597,22 @@
         assert proxy.withdrawn == {"s-2"}, "it is withdrawn again when it leaves again"
 
 
-def test_a_backend_whose_absence_only_another_coordinator_saw_is_reinstated(harness):
+@pytest.mark.parametrize("cold_from", [0.2, 1.0], ids=["its weight changes", "its weight stays"])
+def test_a_backend_whose_absence_only_another_coordinator_saw_is_reinstated(tmp_path, monkeypatch, cold_from):
     """Guards against proxies that shut a backend out for good where this run's list shows its new start time alone."""
-    watch, _ = harness.accept_watch()
-    watch.sendall(RESPONSE_HEAD + list_entries(harness, 42, s_2="active"))
-    harness.settle()
-    proxy = ConnectedProxy()
-    proxy.tables = {"read": {"s-1": 1.0, "s-2": 1.0}, "find": {"s-1": 1.0, "s-2": 1.0}}
-    proxy.withdrawn = {"s-2"}
-    proxy.attach(harness)
-    pass_time(harness, watch, proxy, seconds=5)
-    watch.sendall(list_entries(harness, 43, restarted=("s-2",), s_2="active"))
-    pass_time(harness, watch, proxy, seconds=5)
-    assert proxy.uses("s-2"), proxy.withdrawn
+    settings = {**SETTINGS, "rules": {**SETTINGS["rules"], "coldFrom": cold_from}}
+    known = CoordinatorProcess(tmp_path).list_backends(41, s_1="active", s_2="active")
+    with ServiceHarness(tmp_path, monkeypatch, settings=settings, known=known) as harness:
+        watch, _ = harness.accept_watch()
+        watch.sendall(RESPONSE_HEAD)
+        proxy = ConnectedProxy()
+        proxy.tables = {"read": {"s-1": 1.0, "s-2": 1.0}, "find": {"s-1": 1.0, "s-2": 1.0}}
+        proxy.withdrawn = {"s-2"}
+        proxy.attach(harness)
+        pass_time(harness, watch, proxy, seconds=5)
+        watch.sendall(list_entries(harness, 42, restarted=("s-2",), s_2="active"))
+        pass_time(harness, watch, proxy, seconds=5)
+        assert proxy.uses("s-2"), proxy.withdrawn
 
 
 def test_a_backend_withdrawn_from_a_proxy_that_still_waits_is_reinstated_on_its_next_stream(harness):
