--- a/Makefile
+++ b/Makefile
@@ -20,5 +20,5 @@
 	.venv/bin/lint-imports --no-cache
 
 run: build
-	$(PYTHON) examples/toy.py & toy=$$!; trap "kill $$toy" EXIT; \
+	$(PYTHON) examples/toy.py & toy=$$!; trap "kill $$toy" EXIT; trap "exit 130" INT; trap "exit 143" TERM; \
 	BALANCER_CONFIG=examples/config.json $(PYTHON) -m cranecleat
