Show that a heartbeat cut before its last byte ends the connection

Reason: any connection gets an answer to hb, and bytes may arrive in pieces.

Change: review/10 sends heartbeats in two pieces on the streams of joined proxies and on new connections.

--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,4 @@
+#!/bin/sh
+# Plays the case once; see claim.txt. TROUBLE=0 leaves the disruption out.
+cd "$(dirname "$0")/../.." || exit 2
+exec .venv/bin/python review/10/case.py
