Let the scripts end with 2 where the program is not built

Reason: a case that cannot run has to say so by its exit code; without the build the shell ended with 127.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -2,6 +2,7 @@
 # Builds what the cases 6 to 10 need beside the build of deploy/balancer.toml. Their stand-ins are Python without a
 # package of their own; they are compiled once, in memory, to find a broken copy before a case starts.
 cd "$(dirname "$0")/.." || exit 2
+[ -x .venv/bin/python ] || { echo "not built: see the build of deploy/balancer.toml"; exit 2; }
 exec .venv/bin/python - <<'PYTHON'
 from pathlib import Path
 
