--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -34,8 +34,9 @@
 NUMBER = re.compile(r"\d{1,18}(\.\d{0,18})?([eE][+-]?\d{1,2})?", re.ASCII)
 INTEGER = re.compile(r"\d{1,15}", re.ASCII)
 KINDS = ("hb", "attach", "telemetry", "done", "client_stats", "upstream_stats")
-PREFIX_BYTES = 1 + max(map(len, KINDS))  # enough of a message's first bytes to tell whether its kind is known
-MESSAGE_START = re.compile(rb"(%s)( |$)" % b"|".join(kind.encode() for kind in KINDS))
+# First bytes of a message that tell whether its kind is known: the longest kind, a CR, and the byte that follows it.
+PREFIX_BYTES = max(map(len, KINDS)) + len(CRLF)
+MESSAGE_START = re.compile(rb"(%s)( |\Z)" % b"|".join(kind.encode() for kind in KINDS))
 # Keys of a load report. Collectors send the first key of each pair, and the second is the documented one. Both are
 # accepted.
 BUSY_KEYS = ("utilization", "util")
@@ -73,12 +74,16 @@
 
 
 def check_prefix(rest):
-    """Raises ProtocolError unless `rest`, the beginning of an incomplete message, begins with a known kind and a space,
-    or is a known kind or the beginning of one. Otherwise the connection might wait for the end of the message for ever.
-
-    Data that is cut between CR and LF after a kind without fields (`hb` and CR), or in an empty line, is refused as
-    well, although the complete line would be a message."""
-    if rest and not MESSAGE_START.match(rest) and not any(kind.encode().startswith(rest) for kind in KINDS):
+    """Raises ProtocolError unless `rest`, the first PREFIX_BYTES of an incomplete message or all of it, can become a
+    complete line that begins with a known kind, or an empty one, which is one invalid message. Otherwise the connection
+    might wait for the end of the message for ever.
+
+    A read may end anywhere, also between CR and LF. So a last CR counts as the first half of the line's end."""
+    line = rest.removesuffix(CRLF[:1])
+    if not line or MESSAGE_START.match(line):
+        return
+    is_cut_in_kind = line == rest and any(kind.encode().startswith(rest) for kind in KINDS)
+    if not is_cut_in_kind:
         raise ProtocolError(Reason.UNREADABLE, f"unknown kind of message: {rest[:40]!r}")
 
 
