--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -41,7 +41,8 @@
     entries are removed later, in a periodic round. Where the fleet is divided into subsets, `write_changes` removes
     its entries instead, with the urgency of a withdrawal. Proxies that wait stop using it once they are bound; only if
     that takes too long, or no proxy waits, is it withdrawn as well.
-    `repeat_withdrawals` covers proxies that join meanwhile. `forget_removed_backends` forgets a backend long gone.
+    `repeat_withdrawals` covers proxies that join meanwhile, `repeat_old_withdrawals` those that nothing has bound in
+    time. `forget_removed_backends` forgets a backend long gone.
 What happens while a backend is cold:
     `warmth` is the share of its capacity that a backend of its age is assumed to serve. `capacities` and `apply_floor`
     keep its multiplier within that share. With subsets, `cold_share_factor` lowers it while more is asked than was ever
@@ -124,6 +125,9 @@
 # Withdrawals of backends that went within this are repeated to proxies that join. Lines that no proxy acknowledges
 # count as waiting in the channel for this long.
 RECENT_GRACES = 5
+# A proxy that still waits for a table after this is told of older withdrawals, too. The other half of the grace is what
+# the channel may take to bring them: see `line_budget`.
+BIND_DEADLINE_GRACES = 0.5
 FORGET_GRACES = 20  # a backend that has been gone for this long is forgotten
 
 # The fallback table for proxies that wait for a binding amid a roll-out.
@@ -249,6 +253,9 @@
         self.withdraw_at = None  # withdrawals wait for others until then; None: none waits
         self.withdrawals_overdue = False  # withdrawals that were due did not fit into the channel
         self.repeat_scheduled = False
+        self.old_repeat_scheduled = False
+        self.old_repeated_at = 0  # when withdrawals older than RECENT_GRACES were last repeated
+        self.has_forgotten_backends = False
         # When backends were last found that proxies may hold as withdrawn from an earlier stream, or were last let back
         # in, and how many there are, as of the last bindings.
         self.inheritable_since = 0
@@ -350,6 +357,7 @@
                 backend.last_present_at = self.now
             elif self.now - backend.last_present_at > FORGET_GRACES * self.bootstrap.grace and b not in named:
                 del self.backends[b]
+                self.has_forgotten_backends = True
                 self.pending_withdrawals.discard(b)
                 for proxy_id in self.proxies.keys() & (self.writer.forget(b) or ()):
                     self.proxies[proxy_id].may_inherit = True
@@ -372,14 +380,45 @@
         """Rule 3: proxies that have joined and still wait for a table may hold backends that were withdrawn before."""
         self.repeat_scheduled = False
         if self.users.waiting:
-            for b in self.recently_withdrawn() - self.pending_withdrawals:
-                self.backends[b].due_since = self.now  # the repeat counts as due from now on
-                self.pending_withdrawals.add(b)
-                self.withdraw_at = self.now
-                self.allocation_due = True
+            self.repeat(self.recently_withdrawn())
+            self.schedule_old_repeat()
+
+    def repeat_old_withdrawals(self):
+        """Rule 3: a proxy that has not been bound by its deadline may hold any backend that was ever withdrawn. It may
+        have been cut off for longer than RECENT_GRACES, and nothing has replaced its tables since it joined."""
+        self.old_repeat_scheduled = False
+        first = self.first_without_old_repeat()
+        if first and self.now >= first.joined_at + self.bind_deadline():
+            self.old_repeated_at = self.now
+            self.repeat({b for b, backend in self.backends.items() if backend.withdrawn} - self.recently_withdrawn())
+        self.schedule_old_repeat()
+
+    def schedule_old_repeat(self):
+        """Schedules `repeat_old_withdrawals` for the deadline of the first proxy that it has to reach, if any."""
+        first = self.first_without_old_repeat()
+        if first and not self.old_repeat_scheduled:
+            self.old_repeat_scheduled = True
+            self.schedule(max(first.joined_at + self.bind_deadline() - self.now, 0), self.repeat_old_withdrawals)
+
+    def first_without_old_repeat(self):
+        """The first waiting proxy that has joined since old withdrawals were last repeated, or None. One that joined at
+        that very time may have done so in a later round."""
+        return next((proxy for proxy in self.users.waiting.values() if proxy.joined_at >= self.old_repeated_at), None)
+
+    def repeat(self, withdrawn):
+        """Makes withdrawals due again for the proxies that wait, as far as they are not due already."""
+        for b in withdrawn - self.pending_withdrawals:
+            self.backends[b].due_since = self.now  # the repeat counts as due from now on
+            self.pending_withdrawals.add(b)
+            self.withdraw_at = self.now
+            self.allocation_due = True
+
+    def bind_deadline(self):
+        """Time after its joining by which a proxy has to be bound, or is told of old withdrawals."""
+        return int(BIND_DEADLINE_GRACES * self.bootstrap.grace)
 
     def recently_withdrawn(self):
-        """All withdrawn backends except those that went so long ago that no proxy's table should still name them."""
+        """All withdrawn backends except those that went so long ago that few proxies' tables should still name them."""
         since = self.now - RECENT_GRACES * self.bootstrap.grace
         return {
             b
@@ -1000,25 +1039,28 @@
             if backend.state != "running" and (not backend.withdrawn or (has_waiting and b in self.pending_withdrawals))
         ]
         to_withdraw.sort(key=lambda b: (self.backends[b].due_since, b))
+        held_back = set()
         if self.subset_count:
             # Proxies that are bound lose the entry instead. The message that binds a proxy also withdraws what is
             # withdrawn of its tables' backends, which takes fewer lines than separate withdrawals. So there are none
             # for backends that a table names, nor while proxies wait for a binding, unless these are stuck.
             named = set().union(*self.tables.values())
-            # The proxies count as stuck if the first of them has waited for over a cycle although bindings were not
-            # delayed: then a table that it needs has no entries. Only the first one is looked at.
+            # The proxies count as stuck if the first of them has waited for over a cycle, or until its deadline,
+            # although bindings were not delayed: then a table that it needs has no entries. Only the first one is
+            # looked at.
             first_waiting = next(iter(self.users.waiting.values()), None)
             stuck = (
                 first_waiting
                 and not self.bindings_delayed
-                and self.now - first_waiting.joined_at > self.bootstrap.cycle
+                and self.now - first_waiting.joined_at >= min(self.bootstrap.cycle, self.bind_deadline())
             )
-            to_withdraw = [b for b in to_withdraw if b not in named and (stuck or not has_waiting)]
+            held_back = {b for b in to_withdraw if b in named or (has_waiting and not stuck)}
+            to_withdraw = [b for b in to_withdraw if b not in held_back]
         backlog_share = BACKLOG_WITHDRAWALS if withdrawals_due else BACKLOG_IMMEDIATE
         repeated = [b for b in to_withdraw if self.backends[b].withdrawn]
         remaining = self.set_withdrawn([b for b in to_withdraw if b not in repeated], True, backlog_share)
         remaining = remaining + self.set_withdrawn(repeated, True, backlog_share)
-        self.pending_withdrawals.intersection_update(remaining)
+        self.pending_withdrawals &= held_back.union(remaining)
         self.withdrawals_overdue = withdrawals_due and bool(remaining)
         self.withdraw_at = self.withdraw_at if remaining or removals_wait else None
         if self.withdrawals_overdue or removals_wait:
@@ -1154,8 +1196,12 @@
         min_lines = 1 + len(self.bootstrap.routes) + min((entries for *_, entries in tables), default=0)
         if not tables or not use_fallback and self.bindings_blocked(min_lines):
             return
+        # Rule 3: a backend that is forgotten can be withdrawn no more, so that only a binding takes it off a proxy.
+        longest_wait = self.feedback_delay(FEEDBACK_CYCLES)
+        if self.has_forgotten_backends:
+            longest_wait = min(longest_wait, self.bind_deadline())
         for proxy_id, proxy in self.users.waiting.items():
-            early = self.now - proxy.joined_at < self.feedback_delay(FEEDBACK_CYCLES)
+            early = self.now - proxy.joined_at < longest_wait
             has_coordinator_tables = not proxy.uses_initial_table  # some coordinator has bound it before
             if has_coordinator_tables and fleet_unknown and early and withdrawn < (withdrawn + len(running)) / 2:
                 continue  # after a crash, the tables from a coordinator that knew the fleet are better than new ones
