--- a/cranecleat/bookkeeping/channel.py
+++ b/cranecleat/bookkeeping/channel.py
@@ -34,12 +34,6 @@
             self.message_counts[key] = sum(proxy.proxy_id not in self.charged_proxies for proxy in proxies)
         return self.message_counts[key]
 
-    def near_message_limit(self, proxies, since, message_limit):
-        """Whether any of these proxies was sent half of the allowed messages, or more, after `since`."""
-        return bool(message_limit) and any(
-            2 * sum(sent_at > since for sent_at in proxy.message_times) >= message_limit for proxy in proxies
-        )
-
     def charge(self, proxies, lines=1):
         """Charges each of these proxies for `lines`, and for a message if it gets none in this round yet.
 
@@ -71,8 +65,8 @@
         """
         proxy.message_cost -= sum(self.table_lines.get(table, 0) for table in tables)
 
-    def commit_round(self, ack_number, recipients, now, message_limit):
-        """Records the round's messages as unacknowledged and clears its charges.
+    def commit_round(self, ack_number, recipients, now):
+        """Records the round's messages as unacknowledged and clears its charges. Returns the proxies that get one.
 
         `recipients` are the ids of the proxies that get a message after all; None means all that were charged. The
         others know everything already: nothing is written to them, and they acknowledge nothing.
@@ -85,11 +79,11 @@
             self.queued_lines -= written.pop(proxy_id)
         if written:
             self.unacknowledged.append((ack_number, written, now))
-        for proxy_id, proxy in self.charged_proxies.items():
-            if message_limit and proxy_id in written:
-                proxy.message_times = [*proxy.message_times[1 - message_limit :], now]
+        for proxy in self.charged_proxies.values():
             proxy.message_cost = 0
+        written_to = [self.charged_proxies[proxy_id] for proxy_id in written]
         self.charged_proxies, self.table_lines, self.message_counts = {}, {}, {}
+        return written_to
 
     def acknowledge(self, proxy_id, ack_number):
         """Takes off what has left the channel once a proxy has acknowledged a message.
--- a/cranecleat/bookkeeping/known.py
+++ b/cranecleat/bookkeeping/known.py
@@ -149,8 +149,10 @@
         # Lines of this round's message with its overhead, but without those of `Channel.table_lines`; what these hold
         # from before a binding is subtracted in advance.
         self.message_cost = 0
-        # When its last messages were written, for the message limit: as many as the limit, but all if the limit is 1.
+        # For the message limit: when its last messages were written, as many as the limit, the oldest first, and from
+        # when on it may get another one.
         self.message_times = []
+        self.next_message_at = 0
 
     def call_rate(self):
         """Calls per second: what it has reported, or its typical rate until then."""
--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -65,6 +65,7 @@
 from cranecleat.bookkeeping.known import Backend, Proxy
 from cranecleat.bookkeeping.layout import Layout, sum_by_table
 from cranecleat.bookkeeping.users import Users
+from cranecleat.message_limit import MessageLimit
 
 # Numbers of the timers.
 PERIODIC_TIMER = 0  # the next periodic round
@@ -210,6 +211,7 @@
         self.demand = Demand(len(bootstrap.routes))
         self.users = Users(len(bootstrap.routes))
         self.channel = Channel(self.message_overhead)  # an upper bound of the lines that wait; `charge` adds to it
+        self.message_limit = MessageLimit(bootstrap.message_limit, bootstrap.message_limit_window, bootstrap.grace)
         self.layout = Layout(bootstrap.routes, bootstrap.zones)
         self.acknowledged = self.channel.acknowledge  # the event of that name
         self.tables = {}  # table -> {backend: weight}, as last written; weights as the head of this module has them
@@ -251,7 +253,9 @@
         # Withdrawals.
         self.pending_withdrawals = set()  # withdrawn backends to withdraw again, for proxies that wait for a table
         self.withdraw_at = None  # withdrawals wait for others until then; None: none waits
-        self.withdrawals_overdue = False  # withdrawals that were due did not fit into the channel
+        self.withdrawals_overdue = False  # withdrawals that were due could not be written
+        self.restores_overdue = False  # backends that were to be let back in wait for the message limit
+        self.limited_retry_scheduled = False
         self.repeat_scheduled = False
         self.old_repeat_scheduled = False
         self.old_repeated_at = 0  # when withdrawals older than RECENT_GRACES were last repeated
@@ -909,8 +913,8 @@
     def set_withdrawn(self, backends, withdrawn, backlog_share):
         """Withdraws backends or lets them back in, with a line for each at each proxy that may hold them. They share a
         message, as every message has an overhead. As many as fit are written. None is written if not all fit and more
-        than half of the backlog waits already, or if they can wait and there is no room for all (`has_room`). Returns
-        the backends that remain."""
+        than half of the backlog waits already, if the message limit does not allow it, or if they can wait and there is
+        no room for all (`has_room`). Returns the backends that remain."""
         changed = [b for b in backends if self.backends[b].withdrawn != withdrawn]  # the others are only repeated
         # Without subsets, all proxies may hold the backends if a table names one of those that change. With subsets,
         # this holds only for backends that are let back in, if the withdrawal of one of them was sent in an earlier
@@ -929,6 +933,8 @@
         count = max(int(space / max(len(holders), 1) - self.message_overhead), 0)  # backends that fit
         too_full = self.channel.queued_lines > self.bootstrap.backlog / 2 and count < len(backends)
         can_wait = backlog_share < BACKLOG_WITHDRAWALS
+        if not self.message_limit.allows(holders, self.now):
+            return backends
         if too_full or can_wait and not self.has_room(holders, backlog_share, len(backends)):
             return backends
         for b in backends[:count]:
@@ -948,10 +954,11 @@
         share as the BACKLOG_ constants are; below BACKLOG_WITHDRAWALS it stands for what can wait. None of that is
         written while withdrawals are overdue. Half of the messages that are counted for the message limit stay free for
         what cannot wait."""
-        near_limit = self.channel.near_message_limit(
-            proxies, self.now - self.bootstrap.message_limit_window, self.bootstrap.message_limit
-        )
-        if backlog_share < BACKLOG_WITHDRAWALS and (self.withdrawals_overdue or near_limit):
+        if not self.message_limit.allows(proxies, self.now):
+            return False
+        if backlog_share < BACKLOG_WITHDRAWALS and (
+            self.withdrawals_overdue or self.message_limit.half_used(proxies, self.now)
+        ):
             return False
         added = lines * len(proxies) + self.message_overhead * self.channel.messages_needed(proxies, table)
         return self.channel.queued_lines + added <= self.line_budget(backlog_share, len(proxies))
@@ -998,7 +1005,7 @@
                 usual_priority = WITHDRAWN_BACKEND if b in recently_withdrawn else OTHER_CHANGE
                 priority = LEAVING_BACKEND if leaving else SKEWED_TABLE if b in self.cold_shares else usual_priority
                 changes.append((priority, -UNLIMITED, table, b, 0.0))  # sorts first within its priority
-        self.entries_missing = self.writes_due = removals_wait = False
+        self.entries_missing = self.writes_due = removals_wait = tables_stay_empty = False
         for priority, _, table, b, weight in sorted(changes):
             users = self.users.of_table(table)
             pressing = priority < OTHER_CHANGE
@@ -1012,10 +1019,15 @@
                 skewed = priority == SKEWED_TABLE and periodic
                 backlog_share = min(backlog_share, BACKLOG_SKEWED_TABLES if skewed else BACKLOG_IMMEDIATE)
             # Entries of an empty table are written even without room in the channel; of a subset's empty table, only
-            # the first one is. A table without proxies takes no lines in the channel.
+            # the first one is. Only the message limit holds for them, too. A table without proxies takes no lines there.
             can_wait = priority != EMPTY_TABLE or table in written_tables
-            if can_wait and users and not self.has_room(users, backlog_share, 1, table):
+            if can_wait:
+                fits = self.has_room(users, backlog_share, 1, table)
+            else:
+                fits = self.message_limit.allows(users, self.now)
+            if users and not fits:
                 removals_wait = removals_wait or priority == LEAVING_BACKEND
+                tables_stay_empty = tables_stay_empty or not can_wait
                 unplaced.add(b)  # its withdrawal is not lifted before the entry is written
                 self.entries_missing = self.entries_missing or priority in (EMPTY_TABLE, MISSING_ENTRY)
                 continue
@@ -1063,12 +1075,15 @@
         self.pending_withdrawals &= held_back.union(remaining)
         self.withdrawals_overdue = withdrawals_due and bool(remaining)
         self.withdraw_at = self.withdraw_at if remaining or removals_wait else None
-        if self.withdrawals_overdue or removals_wait:
-            self.schedule(
-                self.bootstrap.cycle // 10,
-                lambda: setattr(self, "writes_due" if self.subset_count else "allocation_due", True),
-            )
-        self.set_withdrawn(to_restore, False, BACKLOG_WITHDRAWALS if periodic else BACKLOG_IMMEDIATE)
+        restore_due = periodic or self.restores_overdue
+        to_restore = self.set_withdrawn(to_restore, False, BACKLOG_WITHDRAWALS if restore_due else BACKLOG_IMMEDIATE)
+        limit_reached = not self.message_limit.allows(self.proxies.values(), self.now)
+        self.restores_overdue = restore_due and limit_reached and bool(to_restore)
+        cannot_wait = self.withdrawals_overdue or removals_wait
+        if limit_reached and (cannot_wait or tables_stay_empty or self.restores_overdue):
+            self.schedule_limited_retry()
+        elif cannot_wait:
+            self.schedule(self.bootstrap.cycle // 10, self.request_writes)
         for route in range(len(self.bootstrap.routes)):
             level = self.admission_level(route)
             old = self.sent_levels.get(route, -1.0)
@@ -1079,11 +1094,30 @@
             # A level that is 1.0 again is written however little it moved; a route's first one needs no room.
             moved = periodic and (abs(level - old) > LEVEL_TOLERANCE * old or level == 1.0 != old)
             backlog_share = BACKLOG_IMMEDIATE if self.bindings_delayed else BACKLOG_LEVELS
-            if old < 0.0 or moved and self.has_room(proxies, backlog_share):
+            first = old < 0.0 and self.message_limit.allows(proxies, self.now)
+            if first or moved and self.has_room(proxies, backlog_share):
                 self.sent_levels[route] = level
                 self.writer.set_admission(None, (route,), level, RETRY_ONLY_ON_PROOF)
                 self.channel.charge(proxies)
 
+    def schedule_limited_retry(self):
+        """Schedules another try for what cannot wait, but for the message limit has to. There is one at a time, as the
+        limit may hold for many rounds."""
+        if not self.limited_retry_scheduled:
+            self.limited_retry_scheduled = True
+            self.schedule(self.bootstrap.cycle // 10, self.retry_limited_writes)
+
+    def retry_limited_writes(self):
+        self.limited_retry_scheduled = False
+        self.request_writes()
+
+    def request_writes(self):
+        """Has this round write what waits; with subsets without a new allocation."""
+        if self.subset_count:
+            self.writes_due = True
+        else:
+            self.allocation_due = True
+
     def entry_cost(self, table, b, weight, users):
         """Lines that a change of an entry takes at each user of its table: one, and another where the message may also
         tell it to withdraw the backend or, if it holds the backend as withdrawn, to let it back in."""
@@ -1254,6 +1288,8 @@
             self.bindings_delayed = bool(tables) and lines > self.line_budget(BACKLOG_BINDINGS, 1)
             if self.bindings_delayed:
                 break
+            if not self.message_limit.allows((proxy,), self.now):
+                continue
             for table, routes in tables:
                 self.writer.bind(proxy_id, table, tuple(routes), True)
                 self.users.bind(proxy_id, proxy, table)
@@ -1273,4 +1309,5 @@
         if self.channel.charged_proxies:
             self.ack_number = (self.ack_number + 1) % 65536
             reached = self.writer.request_ack(self.ack_number)
-        self.channel.commit_round(self.ack_number, reached, self.now, self.bootstrap.message_limit)
+        for proxy in self.channel.commit_round(self.ack_number, reached, self.now):
+            self.message_limit.record(proxy, self.now)
