--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -1019,7 +1019,7 @@
                 skewed = priority == SKEWED_TABLE and periodic
                 backlog_share = min(backlog_share, BACKLOG_SKEWED_TABLES if skewed else BACKLOG_IMMEDIATE)
             # Entries of an empty table are written even without room in the channel; of a subset's empty table, only
-            # the first one is. Only the message limit holds for them, too. A table without proxies takes no lines there.
+            # the first one is. Only the message limit holds for them, too. A table without proxies takes no lines.
             can_wait = priority != EMPTY_TABLE or table in written_tables
             if can_wait:
                 fits = self.has_room(users, backlog_share, 1, table)
