--- a/cranecleat/protocol/limits.py
+++ b/cranecleat/protocol/limits.py
@@ -5,6 +5,9 @@
 # Messages
 MAX_MESSAGE_BYTES = 1 << 20  # the size of one message in either direction, as PROTOCOL states
 MAX_MESSAGE_PARTS = 64  # lines into which one message to a proxy may be split, as PROTOCOL states
+# Fields of one message, and pairs of one load report. A message of the greatest size could otherwise hold so many short
+# ones that its parts take more memory than some deployments give.
+MAX_FIELDS = 1024
 MAX_NUMBER = 1e9  # the largest number in a message: far more than a deployment reaches, far below an overflow
 MAX_HTTP_HEAD_BYTES = 1 << 14  # status line and headers of a response; also a chunk's size line, and each trailer
 MAX_LIST_BYTES = 1 << 22  # the unfinished line of a watch: enough for a list of some ten thousand backends
--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -22,6 +22,7 @@
 from cranecleat.protocol.limits import (
     MAX_ANSWER_TIME_MULTIPLE,
     MAX_CPU_LOAD,
+    MAX_FIELDS,
     MAX_MESSAGE_BYTES,
     MAX_MESSAGE_PARTS,
     MAX_NUMBER,
@@ -56,6 +57,8 @@
     one invalid message. Any other line shows that the data is not messages of this protocol."""
     if line and not MESSAGE_START.match(line):
         raise ProtocolError(Reason.UNREADABLE, f"unknown kind of message: {line[:40]!r}")
+    if line.count(b" ") > MAX_FIELDS:
+        raise InvalidMessageError(Reason.TOO_LONG, f"a message of {line.count(b' ')} fields")
     try:
         kind, *fields = line.decode().split(" ")
     except UnicodeDecodeError:
@@ -135,6 +138,8 @@
 
     def load(self, name):
         """A load report as (busy cores, calls per second), or None if the field is missing or does not hold both."""
+        if self.values.get(name, "").count(",") >= MAX_FIELDS:
+            raise InvalidMessageError(Reason.TOO_LONG, f"{self.kind}: {name} has over {MAX_FIELDS} pairs")
         report = {}
         for pair in filter(None, self.values.get(name, "").split(",")):
             key, colon, value = pair.rpartition(":")
