--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -13,10 +13,12 @@
     BUFFER_BYTES,
     LISTEN_BACKLOG,
     MAX_MESSAGE_BYTES,
+    MAX_MESSAGES_PER_TURN,
     MAX_UNREAD_BYTES,
 )
 from cranecleat.protocol.reasons import InvalidMessageError, ProtocolError, Reason
 
+HEARTBEAT_ANSWER = b"hb_ok" + lines.CRLF
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -63,7 +65,8 @@
 
 class Connection(asyncio.BufferedProtocol):
     """Receives into pooled buffers, and writes one log line when it ends. Subclasses implement `consume`, which handles
-    received data and returns the number of bytes used, and `log_identity`, the log fields that tell who the peer is."""
+    received data and returns the number of bytes used, and `log_identity`, the log fields that tell who the peer is.
+    `consume` may leave complete messages for the connection's next turn: it then sets `has_more`."""
 
     max_buffered_bytes = MAX_MESSAGE_BYTES + 2 * BUFFER_BYTES  # received bytes that are not consumed yet
     terminator = None  # if set, `consume` is called only when newly received data contains it
@@ -71,6 +74,7 @@
     def __init__(self, coordinator):
         self.coordinator, self.receive_buffer, self.transport = coordinator, ReceiveBuffer(coordinator.pool), None
         self.reason = self.detail = None  # why it has ended
+        self.has_more = False  # complete messages wait in the buffer; nothing more is read until they are handled
         self.invalid_messages = 0
         self.opened_at = coordinator.clock.now()
         self.last_received_at = self.opened_at
@@ -94,19 +98,42 @@
             return
         self.receive_buffer.filled += count
         self.last_received_at = self.coordinator.clock.now()
+        may_be_complete = self.terminator is None or self.terminator in self.receive_buffer.last_received(count)
+        self.handle_received(may_be_complete)
+        if self.has_more and not self.reason:
+            self.transport.pause_reading()
+            asyncio.get_running_loop().call_soon(self.take_turn)
+
+    def handle_received(self, may_be_complete):
+        """Handles the complete messages in the buffer, if there may be any, and checks what is left."""
+        self.has_more = False
         try:
-            if self.terminator is None or self.terminator in self.receive_buffer.last_received(count):
+            if may_be_complete:
                 data = self.receive_buffer.unread()
                 used = self.consume(data)
                 if self.reason:
                     return
                 self.receive_buffer.retain(data[used:])
-            self.check_incomplete()
-            if self.receive_buffer.filled > self.max_buffered_bytes:
-                raise ProtocolError(Reason.TOO_LONG, f"{self.receive_buffer.filled} bytes without an end")
+            if not self.has_more:
+                self.check_incomplete()
+                if self.receive_buffer.filled > self.max_buffered_bytes:
+                    raise ProtocolError(Reason.TOO_LONG, f"{self.receive_buffer.filled} bytes without an end")
         except ProtocolError as error:
             self.end(error.reason, str(error))
 
+    def take_turn(self):
+        """Handles messages that were left for this turn, in a later iteration of the loop than the turn before. Then
+        the connection reads on, as soon as no message is left."""
+        if self.reason:
+            return
+        self.handle_received(may_be_complete=True)
+        if self.reason:
+            return
+        if self.has_more:
+            asyncio.get_running_loop().call_soon(self.take_turn)
+        else:
+            self.transport.resume_reading()
+
     def check_incomplete(self):
         """Raises ProtocolError if the incomplete message in the buffer cannot become a valid one."""
 
@@ -160,6 +187,7 @@
     def __init__(self, coordinator):
         super().__init__(coordinator)
         self.proxy, self.handle_message = None, self.identify
+        self.heartbeats = 0  # among the messages that are handled in this turn
 
     @property
     def is_unidentified(self):
@@ -189,28 +217,40 @@
         self.coordinator.connection_closed(self)
 
     def consume(self, data):
-        """Handles all complete messages in `data`; returns the number of bytes that they take."""
-        complete, used = lines.split_lines(data)
-        for line in complete:
-            if len(line) > MAX_MESSAGE_BYTES:
-                raise ProtocolError(Reason.TOO_LONG, f"a message of {len(line)} bytes")
-            try:
-                kind, values = lines.parse_line(line)
-                if kind == "hb":
-                    self.write(b"hb_ok\r\n")
-                else:
-                    self.handle_message(lines.Message(kind, values))
-            except InvalidMessageError as error:
-                if self.is_unidentified:
-                    raise
-                self.invalid_messages += 1
-                self.coordinator.log_aggregated(
-                    "spoilt", who=self.log_identity()["who"], code=error.reason.value, detail=str(error)
-                )
-            if self.reason:
-                break
+        """Handles the complete messages in `data`, MAX_MESSAGES_PER_TURN at most; returns the number of bytes that they
+        take. All heartbeats among them are answered at once, as each write is a system call."""
+        complete, used = lines.split_lines(data, MAX_MESSAGES_PER_TURN)
+        self.has_more = data.find(lines.CRLF, used) >= 0
+        self.heartbeats = 0
+        try:
+            for line in complete:
+                self.handle_line(line)
+                if self.reason:
+                    break
+        finally:
+            if self.heartbeats:
+                self.write(HEARTBEAT_ANSWER * self.heartbeats)
         return used
 
+    def handle_line(self, line):
+        """Handles one complete message. One that cannot be used is dropped and counted, or ends an unidentified
+        connection."""
+        if len(line) > MAX_MESSAGE_BYTES:
+            raise ProtocolError(Reason.TOO_LONG, f"a message of {len(line)} bytes")
+        try:
+            kind, values = lines.parse_line(line)
+            if kind == "hb":
+                self.heartbeats += 1
+            else:
+                self.handle_message(lines.Message(kind, values))
+        except InvalidMessageError as error:
+            if self.is_unidentified:
+                raise
+            self.invalid_messages += 1
+            self.coordinator.log_aggregated(
+                "spoilt", who=self.log_identity()["who"], code=error.reason.value, detail=str(error)
+            )
+
     def check_incomplete(self):
         lines.check_prefix(self.receive_buffer.peek(lines.PREFIX_BYTES))
 
--- a/cranecleat/protocol/limits.py
+++ b/cranecleat/protocol/limits.py
@@ -34,6 +34,10 @@
 # that a peer may leave unread.
 MAX_UNREAD_BYTES = 128 << 10
 
+# Messages of one connection that are handled before other connections have their turn: more than a read of usual
+# reports holds, while a read may hold thousands of the shortest messages.
+MAX_MESSAGES_PER_TURN = 256
+
 # Incoming connections
 # A connection has to identify itself within this time after it was opened. That is enough for an attach message that
 # arrives in pieces. An attach may take one second more than this in all.
--- a/cranecleat/protocol/lines.py
+++ b/cranecleat/protocol/lines.py
@@ -44,12 +44,16 @@
 SERVED_KEYS = ("throughput", "qps")
 
 
-def split_lines(data):
-    """The complete lines in `data`, and how many bytes they take."""
-    used = data.rfind(CRLF) + len(CRLF)
-    if used < len(CRLF):
+def split_lines(data, max_lines=None):
+    """The complete lines in `data`, the first `max_lines` at most, and how many bytes they take."""
+    end = data.rfind(CRLF)
+    if end < 0:
         return [], 0
-    return data[: used - len(CRLF)].split(CRLF), used
+    complete = data[:end].split(CRLF, -1 if max_lines is None else max_lines)
+    used = end + len(CRLF)
+    if max_lines is not None and len(complete) > max_lines:
+        used -= len(complete.pop()) + len(CRLF)
+    return complete, used
 
 
 def parse_line(line):
