What all peers leave unread is limited to an eighth of the memory

Cause: 128 KiB may wait in this process for each peer, and nothing limited the sum: 400 streams that read no answers come to 50 MiB where memory_mb is 32.

Change: UnreadTotal counts over all connections; beyond an eighth of the memory limit the connection with the most is ended. The lines that the planner lets wait are far below that.

Not seen on loopback without small socket buffers.

--- a/cranecleat/protocol/connections.py
+++ b/cranecleat/protocol/connections.py
@@ -22,6 +22,37 @@
 OUT_OF_RESOURCES = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
+class UnreadTotal:
+    """The bytes that wait in this process for peers to read them, over all connections. Where there are more than
+    `max_bytes`, the connections with the most are ended. A connection's part is looked at when something is written to
+    it, and anew before any connection is ended."""
+
+    def __init__(self, max_bytes):
+        self.max_bytes = max_bytes
+        self.by_connection = {}
+        self.total = 0
+
+    def update(self, connection, unread):
+        """Notes how many bytes wait for the peer of a connection."""
+        self.remove(connection)
+        self.by_connection[connection] = unread
+        self.total += unread
+        if self.total > self.max_bytes:
+            self.limit()
+
+    def remove(self, connection):
+        self.total -= self.by_connection.pop(connection, 0)
+
+    def limit(self):
+        """Looks at all connections anew, and ends those with the most while there are too many bytes."""
+        found = {one: one.transport.get_write_buffer_size() for one in self.by_connection}
+        self.by_connection = {one: unread for one, unread in found.items() if unread}
+        self.total = sum(self.by_connection.values())
+        while self.total > self.max_bytes:
+            most = max(self.by_connection, key=self.by_connection.get)
+            most.end(Reason.UNREAD, f"{self.by_connection[most]} bytes, of {self.total} for all peers")
+
+
 class Listener:
     """Accepts connections, a few per iteration of the loop. When hundreds arrive at once they neither block the loop
     nor use up all descriptors before the oldest unidentified ones can be ended."""
@@ -143,8 +174,11 @@
         if self.reason:
             return
         self.transport.write(message)
-        if self.transport.get_write_buffer_size() > MAX_UNREAD_BYTES:
-            self.end(Reason.UNREAD, f"{self.transport.get_write_buffer_size()} bytes")
+        unread = self.transport.get_write_buffer_size()
+        if unread > MAX_UNREAD_BYTES:
+            self.end(Reason.UNREAD, f"{unread} bytes")
+        elif unread:
+            self.coordinator.unread.update(self, unread)
 
     def end(self, reason, detail=None):
         """Ends the connection from this side. Frees its buffers and removes it from the coordinator's sets at once; the
@@ -162,6 +196,7 @@
     def release(self):
         self.receive_buffer.retain(b"")
         self.coordinator.connections.discard(self)
+        self.coordinator.unread.remove(self)
 
     def connection_lost(self, failure):
         if self.reason is None:
--- a/cranecleat/protocol/limits.py
+++ b/cranecleat/protocol/limits.py
@@ -33,6 +33,8 @@
 # Bytes for a peer that may wait in this process, beyond those in the kernel's buffers. PROTOCOL states it as the amount
 # that a peer may leave unread.
 MAX_UNREAD_BYTES = 128 << 10
+# Share of the memory limit for such bytes of all peers together. The lines that the planner lets wait take far less.
+UNREAD_MEMORY_SHARE = 1 / 8
 
 # Messages of one connection that are handled before other connections have their turn: more than a read of usual
 # reports holds, while a read may hold thousands of the shortest messages.
--- a/cranecleat/service/coordinator.py
+++ b/cranecleat/service/coordinator.py
@@ -6,7 +6,7 @@
 from cranecleat.memory.pool import BufferPool
 from cranecleat.memory.streams import Streams
 from cranecleat.policy import Planner
-from cranecleat.protocol.connections import Incoming
+from cranecleat.protocol.connections import Incoming, UnreadTotal
 from cranecleat.protocol.limits import (
     BUFFER_BYTES,
     BUFFER_MEMORY_SHARE,
@@ -14,6 +14,7 @@
     IDENTIFY_TIMEOUT_US,
     LOG_SUMMARY_INTERVAL_US,
     SPARE_DESCRIPTOR_SHARE,
+    UNREAD_MEMORY_SHARE,
 )
 from cranecleat.protocol.lines import MessageDecoder
 from cranecleat.protocol.reasons import Reason
@@ -44,6 +45,7 @@
             configuration.patience,
         )
         self.pool = BufferPool(BUFFER_BYTES, max(1, int(configuration.memory * BUFFER_MEMORY_SHARE) // BUFFER_BYTES))
+        self.unread = UnreadTotal(int(configuration.memory * UNREAD_MEMORY_SHARE))
         self.connections = set()
         self.unidentified = {}  # connections that have not said what they are, the oldest first; a dict as ordered set
         self.collectors = set()
--- a/tests/test_hostile_peers.py
+++ b/tests/test_hostile_peers.py
@@ -1,5 +1,7 @@
 """Peers that send messages of very many fields, send at full speed, or leave with much unread: what it costs others."""
 
+import contextlib
+import socket
 import tracemalloc
 
 import pytest
@@ -134,3 +136,34 @@
     counted = sum(sum(written.values()) for _, written, _ in channel.unacknowledged)
     assert channel.queued_lines == pytest.approx(counted) and channel.queued_lines >= before > 0
     assert again.fileno() >= 0
+
+
+def test_what_many_peers_leave_unread_is_limited_in_all(tmp_path, monkeypatch):
+    """Guards against a process that outgrows its memory limit, as hundreds of peers leave a little less unread than
+    each of them may. The one that leaves the most is ended, and the others stay."""
+    limits = {"cores": 1.0, "memory_mb": 4, "sockets": 1024}
+    limit_for_all = 4 * 2**20 // 8
+    with ServiceHarness(tmp_path, monkeypatch, limits=limits) as harness:
+        reading = harness.connect(attach(0))
+        stalled = [harness.connect(attach(proxy)) for proxy in range(1, 8)]
+        harness.settle()
+        for proxy in range(1, 8):
+            harness.coordinator.streams.joined[proxy].connection.transport.get_extra_info("socket").setsockopt(
+                socket.SOL_SOCKET, socket.SO_SNDBUF, 4096
+            )
+        most, ended = 0, []
+        for _ in range(3000):
+            for connection in stalled:
+                with contextlib.suppress(OSError):  # the buffers are full, or the coordinator has ended it
+                    connection.send(b"hb\r\n" * 200)
+            harness.settle()
+            sizes = [one.transport.get_write_buffer_size() for one in harness.coordinator.connections]
+            most = max(most, sum(sizes))
+            ended = [fields for fields in harness.log.events("connection_ended") if fields["code"] == "unread"]
+            if ended:
+                break
+        assert most <= limit_for_all
+        assert len(ended) == 1 and "for all peers" in ended[0]["detail"]
+        reading.sendall(b"hb\r\n")
+        harness.step_until(lambda: "hb_ok" in (harness.received(reading) or ""))
+        assert harness.coordinator.unread.total == sum(harness.coordinator.unread.by_connection.values())
