A coordinator divides the fleet where a withdrawal to all proxies never fits

Cause: a withdrawal goes to all proxies in one round. Subsets, in which the entry is removed table by table, were used only where full tables take too long to send.

Change: they are used here as well.

--- a/cranecleat/policy.py
+++ b/cranecleat/policy.py
@@ -777,15 +777,18 @@
 
     def update_subsets(self):
         """Divides the fleet into subsets with a table each where the channel could not bring full tables in time to all
-        proxies that this coordinator may have to serve. A backend is in two tables, so that Algorithm 2 evens out the
-        demand of their proxies. Known weakness: tables with few proxies."""
+        proxies that this coordinator may have to serve, or has no room for a withdrawal to all of them. A backend is in
+        two tables, so that Algorithm 2 evens out the demand of their proxies. Known weakness: tables with few proxies.
+        """
         running = self.running()
         bootstrap = self.bootstrap
         proxies = min(TAKEOVER_FACTOR / bootstrap.coordinators, 1.0) * bootstrap.proxies
         lines = proxies * (len(bootstrap.routes) * len(running) + self.message_overhead)
         full_tables_time = lines * 1e6 / bootstrap.channel_lines_per_second
         in_use = self.subset_count or self.users.proxies_by_table or self.fallback_backends
-        if full_tables_time > bootstrap.warm_up_time and not in_use:
+        # A withdrawal goes to all proxies at once, each with a message.
+        withdrawal_fits = proxies * (self.message_overhead + 1) <= BACKLOG_WITHDRAWALS * bootstrap.backlog
+        if (full_tables_time > bootstrap.warm_up_time or not withdrawal_fits) and not in_use:
             lines_per_proxy = bootstrap.channel_lines_per_second * bootstrap.grace * BIND_ALL_GRACES / 1e6 / proxies
             entries = lines_per_proxy - self.message_overhead - 1 - len(bootstrap.routes)
             entries /= len(Layout(bootstrap.routes, bootstrap.zones, 1).route_groups)
