--- a/cranecleat/gossip/agent.py
+++ b/cranecleat/gossip/agent.py
@@ -75,6 +75,12 @@
         self.verifier.update_roster(roster)
         self.members.update_roster(roster.others(), now)
         self.claims.retain(roster.members)
+        # A member that has been taken out cannot be answered any more.
+        self.relayed_probes = {
+            nonce: (requester, *relayed)
+            for nonce, (requester, *relayed) in self.relayed_probes.items()
+            if requester in roster.members
+        }
         self.publish_statement(now)
 
     # Claims of this member
--- a/tests/test_gossip.py
+++ b/tests/test_gossip.py
@@ -16,6 +16,7 @@
 from cranecleat.gossip.roster import Member, Roster, RosterError, member_number
 from cranecleat.gossip.seal import DatagramVerifier, ReplayWindow, SignatureChecker, Signer
 from cranecleat.gossip.wire import DatagramError, Refused
+from cranecleat.rehearsal.network import HashSigner
 from gossip_harness import EPOCH, SECOND, SimulatedGroup, member_names, secret_key
 from planner_harness import PlannerHarness, assert_matches_trace
 
@@ -593,3 +594,24 @@
     )
     pooled = [member.pooled(group.now) for name, member in group.agents.items() if name != "n3"]
     assert max(missing.get(backend_key("s-1", 0), 0.0) for missing in pooled) == 0.0
+
+
+def test_a_member_that_is_taken_out_while_another_one_is_probed_for_it_stops_no_timer():
+    """Guards against an exception in `tick`, after which the transport never runs it again: a helper was to answer a
+    member that had left the roster meanwhile."""
+    group = SimulatedGroup(5)
+    group.run(8)
+    del group.agents["n4"]  # is probed through helpers from now on
+    for _ in range(400):
+        group.run(0.05)
+        helper = next((agent for agent in group.agents.values() if agent.relayed_probes), None)
+        if helper:
+            break
+    requester = next(iter(helper.relayed_probes.values()))[0]
+    remaining = [member for member in helper.roster.members.values() if member_number(member.name) != requester]
+    name = helper.roster.members[helper.roster.me].name
+    helper.update_roster(Roster("test", name, remaining), HashSigner(name), group.now)
+    for _ in range(40):
+        group.now += SECOND // 10
+        helper.tick(group.now, group.unix())
+    assert requester not in helper.members.records and not helper.relayed_probes
