--- a/tests/test_old_withdrawals.py
+++ b/tests/test_old_withdrawals.py
@@ -32,17 +32,18 @@
     assert not coordinator.holds(2, 3)
 
 
-def test_a_proxy_without_a_binding_in_sight_is_told_of_old_withdrawals_with_subsets():
+@pytest.mark.parametrize("grace, cycle", [(2, 1), (1, 4)])
+def test_a_proxy_without_a_binding_in_sight_is_told_of_old_withdrawals_with_subsets(grace, cycle):
     """Guards against repeated withdrawals that are dropped because bindings are expected: here no table of the proxy's
-    zone has any entry, so that the binding never comes."""
+    zone has any entry, so that the binding never comes. Nor may they wait for a cycle that is longer than the grace."""
     in_zone = tuple(replace(route, own_zone=True) for route in BOOTSTRAP.routes)
-    coordinator = TimedCoordinator(80, grace=2 * SECOND, routes=in_zone, **TABLES["subsets"])
+    coordinator = TimedCoordinator(80, grace=grace * SECOND, cycle=cycle * SECOND, routes=in_zone, **TABLES["subsets"])
     for b in range(1, 80, 2):
         coordinator.list_states({b: "gone"})
     coordinator.run_until(coordinator.now + 12 * SECOND)
     assert coordinator.planner.subset_count
     coordinator.join(1, (1, 3, 5), uses_initial_table=True)
-    coordinator.run_until(coordinator.now + 2 * SECOND + ALLOWANCE)
+    coordinator.run_until(coordinator.now + grace * SECOND + ALLOWANCE)
     assert 1 in coordinator.planner.users.waiting
     assert not any(coordinator.holds(1, b) for b in (1, 3, 5))
 
